Order just in time: recorded orders had piled up behind the call pacing

Cause: up to four orders were recorded a tick and waited for paced calls, so refused spot offers were asked again and again before ordinary ones.

--- a/internal/rental/order.go
+++ b/internal/rental/order.go
@@ -81,12 +81,17 @@
 	if !t.listed || len(t.types) == 0 {
 		return
 	}
+	now := t.r.Now()
 	for _, o := range t.orders {
-		if !o.placed {
-			return // one at a time: the next looks at what this one brings
+		if !o.o.Answered && !o.refused {
+			// One at a time: what is recorded early waits for its call while
+			// misses and refusals move on.
+			return
 		}
 	}
-	now := t.r.Now()
+	if !t.mayCall(now) {
+		return
+	}
 	supply := t.expected()
 	need := map[offer]int{}
 	for _, w := range t.wants() {
@@ -119,8 +124,9 @@
 		keys = append(keys, o)
 	}
 	sort.Slice(keys, func(i, j int) bool { return fmt.Sprint(keys[i]) < fmt.Sprint(keys[j]) })
-	for _, o := range keys {
-		t.newOrder(o, min(need[o], 50))
+	if len(keys) > 0 {
+		most := slices.MaxFunc(keys, func(a, b offer) int { return need[a] - need[b] })
+		t.newOrder(most, min(need[most], 50))
 	}
 }
 
@@ -177,6 +183,9 @@
 	t.storeOrder(o, []wire.Cond{member.LeaderCond(t.claim), {Key: OrderKeys + name, Mark: 0}}, func(ok bool) {
 		if ok {
 			o.placed = true
+			if t.leads && t.orders[name] == o && t.mayCall(t.r.Now()) {
+				t.send(o)
+			}
 			return
 		}
 		delete(t.orders, name) // its name is not used again; should it be stored late, a new leader asks for it once
@@ -209,7 +218,11 @@
 		return false
 	}
 	slices.Sort(names)
-	o := t.orders[names[0]]
+	t.send(t.orders[names[0]])
+	return true
+}
+
+func (t *Rental) send(o *order) {
 	o.busy = true
 	o.tries++
 	of := offer{o.o.Type, o.o.Zone, o.o.Spot}
@@ -247,7 +260,6 @@
 			o.nextTry = t.r.Now() + loop.Second
 		}
 	})
-	return true
 }
 
 // refuse keeps an offer out of the choice for a while, longer each time.
--- a/internal/rental/rental.go
+++ b/internal/rental/rental.go
@@ -140,7 +140,8 @@
 	tallyAt  map[string]loop.Micros
 	offers   map[offer]*backoff
 	seq      int
-	nextCall loop.Micros
+	allow    float64 // calls that may be made now
+	allowAt  loop.Micros
 	pauseTo  loop.Micros
 	calling  bool
 	listAt   loop.Micros
@@ -321,11 +322,10 @@
 		return
 	}
 	t.judge()
-	if t.calling || t.r.Now() < t.nextCall || t.r.Now() < t.pauseTo {
-		t.recordOrders()
+	now := t.r.Now()
+	if !t.mayCall(now) {
 		return
 	}
-	now := t.r.Now()
 	switch {
 	case t.catAt == 0 || now-t.catAt > 45*loop.Second:
 		t.fetchCatalog()
@@ -335,18 +335,32 @@
 	case t.sendOrder():
 	case now-t.listAt > max(5*loop.Second, loop.Seconds(t.cfg.Cluster.Cloud.ListLagS)):
 		t.list("", nil)
+	default:
+		t.recordOrders()
+	}
+}
+
+// mayCall tells whether the pacing lets a cloud call go out now. Bursts stay
+// below what the cloud allows.
+func (t *Rental) mayCall(now loop.Micros) bool {
+	rate := 0.9 * t.cfg.Cluster.Cloud.RPS
+	if gap := t.cfg.Operator.CloudCallS; gap > 0 {
+		rate = 1 / gap
+	}
+	if t.allowAt != 0 {
+		t.allow += float64(now-t.allowAt) / 1e6 * rate
 	}
-	t.recordOrders()
+	if most := max(rate, 1); t.allow > most || t.allowAt == 0 {
+		t.allow = most
+	}
+	t.allowAt = now
+	return !t.calling && now >= t.pauseTo && t.allow >= 1
 }
 
 // call makes one paced cloud call.
 func (t *Rental) call(method, path string, body any, timeout loop.Micros, cb func(store.Response)) {
 	t.calling = true
-	gap := loop.Seconds(t.cfg.Operator.CloudCallS)
-	if gap == 0 {
-		gap = loop.Seconds(1.1 / t.cfg.Cluster.Cloud.RPS)
-	}
-	t.nextCall = t.r.Now() + gap
+	t.allow--
 	var raw []byte
 	if body != nil {
 		raw = wire.Marshal(body)
