--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -107,8 +107,8 @@
 // Defaults are the operators' settings when their file does not say otherwise.
 func Defaults() Operator {
 	return Operator{
-		StandbyMeanS:         300,
-		OrdinaryStandbyMeanS: 300,
+		StandbyMeanS:         60,
+		OrdinaryStandbyMeanS: 15,
 		NodeLeaseS:           4,
 		StartLifeS:           6,
 		BootStuckTimes:       3.5,
