Tell the attempts of a task apart: a stopped one beside the next broke ran_twice

Cause: reports keep an ended attempt until it is forgotten; the look-up by task took it for the running one, which then looked absent and was placed again.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -139,9 +139,14 @@
 	}
 	m := a.hosted[r.Machine]
 	if known := a.views[r.Machine]; known != nil && !(r.Session > known.Session || (r.Session == known.Session && r.Seq > known.Seq)) {
-		// A report that was held back on its way: its worker gave it up long
-		// ago, and its task list is as old as itself.
-		reply(Answer{503, wire.Error{Error: "late report"}})
+		// Its task list is as old as itself. Where the answer of a direct command
+		// overtook it, the worker waits for this answer and stays; a report that
+		// was held back on its way was given up by its worker long ago.
+		if m == nil || m.token == 0 || r.Session != m.view.Session {
+			reply(Answer{503, wire.Error{Error: "late report"}})
+			return
+		}
+		reply(Answer{200, wire.Commands{Token: m.token, Commands: []wire.Command{}}})
 		return
 	}
 	if m == nil {
@@ -202,9 +207,8 @@
 		v.Tasks = append(v.Tasks, Task{t.Task, t.Attempt, t.State, t.Why, t.Saved})
 	}
 	for k, p := range m.pending {
-		t := v.Find(k.task)
 		switch {
-		case t != nil && t.Attempt == k.attempt:
+		case v.Find(k.task, k.attempt) != nil:
 			// Seen. Its direct command may still be under way; the repeat has no effect.
 			delete(m.pending, k)
 		case p.limbo != 0 && r.Token >= p.limbo:
@@ -249,8 +253,8 @@
 	now, wall := a.r.Now(), a.r.Wall()
 	out := []wire.Command{}
 	for k, q := range m.stops {
-		t := m.view.Find(k.task)
-		if now > q.until || t == nil || t.Attempt != k.attempt {
+		t := m.view.Find(k.task, k.attempt)
+		if now > q.until || t == nil {
 			delete(m.stops, k)
 			continue
 		}
@@ -370,7 +374,7 @@
 	if m == nil {
 		return // the owner hears of the new host and sends it there, until the start expires
 	}
-	if t := m.view.Find(s.Task); (t != nil && t.Attempt == s.Attempt) || m.pending[k] != nil {
+	if m.view.Find(s.Task, s.Attempt) != nil || m.pending[k] != nil {
 		return
 	}
 	if _, was := m.refused[k]; was {
--- a/internal/agent/view.go
+++ b/internal/agent/view.go
@@ -57,10 +57,11 @@
 	return v.Host == old.Host && v.Rev > old.Rev
 }
 
-// Find looks for a task on the machine.
-func (v *View) Find(task string) *Task {
+// Find looks for one attempt of a task on the machine. An ended attempt stays in
+// the reports until it is forgotten, so the same task may stand there several times.
+func (v *View) Find(task string, attempt uint64) *Task {
 	for i := range v.Tasks {
-		if v.Tasks[i].Task == task {
+		if v.Tasks[i].Task == task && v.Tasks[i].Attempt == attempt {
 			return &v.Tasks[i]
 		}
 	}
@@ -153,7 +154,7 @@
 	}
 	for i := range v.Pending {
 		p := &v.Pending[i]
-		if t := v.Find(p.Task); t != nil && t.Attempt == p.Attempt {
+		if v.Find(p.Task, p.Attempt) != nil {
 			continue
 		}
 		s := spec(p.Task)
--- a/internal/agent/view_test.go
+++ b/internal/agent/view_test.go
@@ -25,3 +25,19 @@
 		}
 	}
 }
+
+// An attempt that was stopped stays in the reports beside the next attempt of the
+// same task. Taking the first for the second once let a running task look absent,
+// and it was started on another machine.
+func TestFindTellsAttemptsApart(t *testing.T) {
+	v := &View{Tasks: []Task{{Task: "job-1/4", Attempt: 1, State: "ended", Why: "stopped"}, {Task: "job-1/4", Attempt: 2, State: "running"}}}
+	if e := v.Find("job-1/4", 2); e == nil || !e.Active() {
+		t.Fatalf("the running attempt is not found: %v", e)
+	}
+	if e := v.Find("job-1/4", 1); e == nil || e.Active() {
+		t.Fatalf("the ended attempt is not found: %v", e)
+	}
+	if e := v.Find("job-1/4", 3); e != nil {
+		t.Fatalf("an attempt that is not there is found: %v", e)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -129,6 +129,9 @@
 			n.placer.Learn(u)
 			n.net.All(func(e *peer.Envelope) { e.Usage = u })
 		},
+		Claims: func(c []peer.Claim) {
+			n.net.All(func(e *peer.Envelope) { e.Claims = append(e.Claims, c...) })
+		},
 	}, n.book, n.agent)
 	n.rental = rental.New(l, log, cfg, n.client, n.mirror, store.NewDoer(cfg.Outside.Cloud, 4), n.agent, rental.Node{
 		Label: cfg.Label,
@@ -206,6 +209,7 @@
 		}
 	}
 	n.placer.Learn(e.Usage)
+	n.placer.LearnClaims(e.Claims)
 }
 
 const contactAge = 2500 * loop.Millisecond
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -70,6 +70,17 @@
 	Until   loop.Micros `cbor:"2,keyasint"`
 }
 
+// Claim keeps room on a machine for a job that tasks were stopped for.
+type Claim struct {
+	Machine  string      `cbor:"1,keyasint"`
+	Job      string      `cbor:"2,keyasint"`
+	Priority int         `cbor:"3,keyasint"`
+	CPUs     float64     `cbor:"4,keyasint"`
+	GPUs     float64     `cbor:"5,keyasint,omitempty"`
+	MemoryGB float64     `cbor:"6,keyasint"`
+	Until    loop.Micros `cbor:"7,keyasint"` // time of day
+}
+
 // Envelope is one frame.
 type Envelope struct {
 	From     string        `cbor:"1,keyasint"`
@@ -82,6 +93,7 @@
 	Closes   []Close       `cbor:"8,keyasint,omitempty"`
 	Progress []Progress    `cbor:"9,keyasint,omitempty"`
 	Usage    []Usage       `cbor:"10,keyasint,omitempty"`
+	Claims   []Claim       `cbor:"11,keyasint,omitempty"`
 }
 
 const (
--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -41,7 +41,7 @@
 			if x.session < v.Session || v.Holds(n, x.attempt) {
 				continue
 			}
-			if e := v.Find(n); e != nil && e.Attempt == x.attempt {
+			if v.Find(n, x.attempt) != nil {
 				continue
 			}
 			room.Take(r.t.j.Spec) // chosen or started, and not shown yet
@@ -89,25 +89,47 @@
 	return true
 }
 
+// entryOf is a job with waiting tasks in the order of service.
+type entryOf struct {
+	t      *table
+	within bool // within its team's guarantee
+}
+
+// rank: what is urgent goes first, then what lies within a guarantee.
+func (e *entryOf) rank() int {
+	p := int(e.t.j.Spec.Priority)
+	if p >= int(job.High) {
+		p += 10
+	}
+	if e.within {
+		p += 5
+	}
+	return p
+}
+
 // queue lists the jobs with waiting tasks in the order in which they are served.
-func (p *Placer) queue() []*table {
-	var q []*table
+func (p *Placer) queue() []entryOf {
+	var q []entryOf
 	now := p.r.Now()
 	for _, tm := range p.teams {
 		if !tm.loaded {
 			continue
 		}
+		var within map[*table]bool
 		for _, t := range tm.jobs {
 			if !t.j.Final() && !t.closing && t.waiting() > 0 && now >= t.holdOff {
-				q = append(q, t)
+				if within == nil {
+					within = p.guaranteed(tm)
+				}
+				q = append(q, entryOf{t, within[t]})
 			}
 		}
 	}
 	sort.Slice(q, func(a, b int) bool {
-		x, y := q[a].j, q[b].j
-		if x.Spec.Priority != y.Spec.Priority {
-			return x.Spec.Priority > y.Spec.Priority
+		if x, y := q[a].rank(), q[b].rank(); x != y {
+			return x > y
 		}
+		x, y := q[a].t.j, q[b].t.j
 		if x.At != y.At {
 			return x.At < y.At
 		}
@@ -123,8 +145,13 @@
 	if len(q) == 0 {
 		return
 	}
+	p.expireClaims()
 	slots := p.slots()
-	for _, t := range q {
+	now := p.r.Now()
+	stops := now >= p.pre.nextRun
+	var excess map[string]float64
+	for _, e := range q {
+		t := e.t
 		s := t.j.Spec
 		probe := 1 << 30
 		if t.failures >= 3 && len(t.failedOn) >= 3 {
@@ -146,13 +173,27 @@
 			x.machine, x.session, x.expiry, x.since = best.v.Name, best.v.Session, 0, 0
 			best.room.Take(s)
 			best.used += s.CPUs
+			p.useClaim(best.v.Name, t.j.ID)
 			p.setTask(t, i, Recording)
 			p.dirty(t, t.chunkOf(i), 3*loop.Millisecond)
 		}
-		if n := p.missed(t); n > 0 && probe > 0 {
-			p.lastWant = append(p.lastWant, peer.Want{CPUs: s.CPUs, GPUs: s.GPUs, MemoryGB: s.MemoryGB, Types: s.Types, AnyType: s.AnyType,
-				Zone: s.Zone, Spot: s.Spot, Priority: int(s.Priority), Count: n, Run: s.Estimate})
+		n := p.missed(t)
+		if n <= 0 || probe <= 0 {
+			continue
+		}
+		if stops {
+			if excess == nil {
+				excess = p.excesses()
+				p.pre.nextRun = now + 100*loop.Millisecond
+			}
+			p.preempt(t, slots, n, e.within, excess)
 		}
+		p.lastWant = append(p.lastWant, peer.Want{CPUs: s.CPUs, GPUs: s.GPUs, MemoryGB: s.MemoryGB, Types: s.Types, AnyType: s.AnyType,
+			Zone: s.Zone, Spot: s.Spot, Priority: int(s.Priority), Count: n, Run: s.Estimate})
+	}
+	if len(p.pre.news) > 0 {
+		p.n.Claims(p.pre.news)
+		p.pre.news = nil
 	}
 }
 
@@ -179,6 +220,16 @@
 		if !sl.room.Fits(s) || !allowed(t, sl.v) {
 			continue
 		}
+		if len(p.pre.claims) > 0 {
+			room := sl.room
+			held := p.claimedBy(sl.v.Name, t)
+			room.CPUs -= held.CPUs
+			room.GPUs -= held.GPUs
+			room.MemoryGB -= held.MemoryGB
+			if !room.Fits(s) {
+				continue
+			}
+		}
 		score := sl.used / sl.all.CPUs
 		if _, ok := p.images[sl.v.Name][s.Image]; ok {
 			score += 4
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -29,6 +29,8 @@
 	Tell func([]peer.Progress)
 	// Usage hands the owned teams' use to the peers.
 	Usage func([]peer.Usage)
+	// Claims hands the peers the room that is kept for preempting jobs.
+	Claims func([]peer.Claim)
 }
 
 // Placer owns the tables of the owned teams.
@@ -52,13 +54,16 @@
 	nonce    uint64
 	lastWant []peer.Want
 	usage    map[string]peer.Usage
+	pre      preemptor
+	runs     map[string]runs
 }
 
 // New makes the placer.
 func New(r loop.Runner, c *store.Client, log *slog.Logger, cfg *config.Config, n Node, book *job.Book, a *agent.Agent) *Placer {
 	p := &Placer{r: r, c: c, log: log, cfg: cfg, n: n, book: book, agent: a, teams: map[string]*team{}, on: map[string]map[ref]struct{}{},
 		health: newHealth(), zoneMemo: map[string]string{}, heard: map[string]loop.Micros{}, avoid: map[string]loop.Micros{},
-		images: map[string]map[string]loop.Micros{}, nonce: rand.Uint64() >> 1, usage: map[string]peer.Usage{}}
+		images: map[string]map[string]loop.Micros{}, nonce: rand.Uint64() >> 1, usage: map[string]peer.Usage{},
+		pre: preemptor{stopped: map[string]loop.Micros{}}, runs: map[string]runs{}}
 	loop.Every(r, 400*loop.Millisecond, p.tick)
 	return p
 }
@@ -284,6 +289,7 @@
 	p.heard[v.Name] = now
 	p.zoneMemo[v.Name] = v.Zone
 	p.health.view(now, v)
+	p.noteRuns(v)
 	im := p.images[v.Name]
 	if im == nil {
 		im = map[string]loop.Micros{}
@@ -327,13 +333,7 @@
 	if v.Session < x.session {
 		return false
 	}
-	e := v.Find(name)
-	if e != nil && e.Attempt != x.attempt {
-		if e.Attempt < x.attempt && e.Active() {
-			return false // an older attempt still holds it
-		}
-		e = nil
-	}
+	e := v.Find(name, x.attempt)
 	if e == nil {
 		if v.Holds(name, x.attempt) {
 			return false
@@ -457,6 +457,7 @@
 		}
 	}
 	delete(p.images, machine)
+	delete(p.runs, machine)
 	delete(p.heard, machine)
 	p.health.gone(machine)
 	p.Kick()
@@ -701,7 +702,7 @@
 			if r.t.j.Final() {
 				p.stop(r.t, r.i, 0)
 			} else if x.ours && !x.seen && wall < x.expiry && now-x.sentAt > 800*loop.Millisecond &&
-				!v.Holds(r.t.name(r.i), x.attempt) && v.Find(r.t.name(r.i)) == nil {
+				!v.Holds(r.t.name(r.i), x.attempt) && v.Find(r.t.name(r.i), x.attempt) == nil {
 				p.sendStart(r.t, r.i)
 			}
 		}
