--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -177,19 +177,29 @@
 			p.setTask(t, i, Recording)
 			p.dirty(t, t.chunkOf(i), 3*loop.Millisecond)
 		}
-		n := p.missed(t)
-		if n <= 0 || probe <= 0 {
+		missed := p.missed(t)
+		if missed <= 0 || probe <= 0 {
 			continue
 		}
-		if stops {
+		if n := missed; stops {
 			if excess == nil {
 				excess = p.excesses()
 				p.pre.nextRun = now + 100*loop.Millisecond
 			}
-			p.preempt(t, slots, n, e.within, excess)
+			// Two teams that both run beyond their guarantees must not stop
+			// each other's work in turn: only one that uses less than its
+			// guarantee may claim it.
+			room := t.team.cfg.CPUs - t.team.cpus
+			within := e.within && room >= s.CPUs
+			if within && s.CPUs > 0 {
+				n = min(n, int(room/s.CPUs))
+			}
+			if within || s.Priority >= job.High {
+				p.preempt(t, slots, n, within, excess)
+			}
 		}
 		p.lastWant = append(p.lastWant, peer.Want{CPUs: s.CPUs, GPUs: s.GPUs, MemoryGB: s.MemoryGB, Types: s.Types, AnyType: s.AnyType,
-			Zone: s.Zone, Spot: s.Spot, Priority: int(s.Priority), Count: n, Run: s.Estimate})
+			Zone: s.Zone, Spot: s.Spot, Priority: int(s.Priority), Count: missed, Run: s.Estimate})
 	}
 	if len(p.pre.news) > 0 {
 		p.n.Claims(p.pre.news)
