--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"math"
 	"sort"
 
 	"cleatpick/internal/agent"
@@ -15,6 +16,7 @@
 	room agent.Room
 	all  agent.Room
 	cost float64 // price by CPU
+	dear float64 // how far that is above the cheapest of all machines here, from 0 to 1
 	used float64
 }
 
@@ -54,6 +56,15 @@
 			cost: cost, used: typ.CPUs - room.CPUs})
 	})
 	sort.Slice(out, func(i, j int) bool { return out[i].v.Name < out[j].v.Name })
+	least := math.Inf(1)
+	for _, sl := range out {
+		least = min(least, sl.cost)
+	}
+	for _, sl := range out {
+		if sl.cost > 0 {
+			sl.dear = 1 - least/sl.cost
+		}
+	}
 	return out
 }
 
@@ -220,32 +231,25 @@
 	return max(n, 0)
 }
 
-// choose picks the machine for a task: one that has the image, then a cheap one,
-// then the fullest, so that others fall empty and can be given back.
+// choose picks the machine for a task. What is urgent goes where its image is, so
+// that it starts at once. Anything else goes to the cheapest kind of machine, and
+// there to the fullest, so that dear machines fall empty and can be given back; a
+// fetch costs it little.
 func (p *Placer) choose(t *table, slots []*slot) *slot {
 	s := t.j.Spec
+	image := 1.0
+	if s.Priority >= job.High {
+		image = 10
+	}
 	var best *slot
 	var bestScore float64
 	for _, sl := range slots {
-		if !sl.room.Fits(s) || !allowed(t, sl.v) {
+		if !sl.room.Fits(s) || !allowed(t, sl.v) || !p.fitsBesideClaims(sl, t) {
 			continue
 		}
-		if len(p.pre.claims) > 0 {
-			room := sl.room
-			held := p.claimedBy(sl.v.Name, t)
-			room.CPUs -= held.CPUs
-			room.GPUs -= held.GPUs
-			room.MemoryGB -= held.MemoryGB
-			if !room.Fits(s) {
-				continue
-			}
-		}
-		score := sl.used / sl.all.CPUs
+		score := 2*sl.used/sl.all.CPUs - 3*sl.dear
 		if _, ok := p.images[sl.v.Name][s.Image]; ok {
-			score += 4
-		}
-		if sl.v.Spot {
-			score += 2
+			score += image
 		}
 		if best == nil || score > bestScore {
 			best, bestScore = sl, score
@@ -254,5 +258,18 @@
 	return best
 }
 
+// fitsBesideClaims leaves the room alone that is kept for more urgent jobs.
+func (p *Placer) fitsBesideClaims(sl *slot, t *table) bool {
+	if len(p.pre.claims) == 0 {
+		return true
+	}
+	room := sl.room
+	held := p.claimedBy(sl.v.Name, t)
+	room.CPUs -= held.CPUs
+	room.GPUs -= held.GPUs
+	room.MemoryGB -= held.MemoryGB
+	return room.Fits(t.j.Spec)
+}
+
 // Faulty tells whether a machine should be replaced for failing tasks.
 func (p *Placer) Faulty(machine string) bool { return p.health.faulty(machine) }
