--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -205,7 +205,9 @@
 			if within && s.CPUs > 0 {
 				n = min(n, int(room/s.CPUs))
 			}
-			p.preempt(t, slots, n, within, excess)
+			if within || s.Priority >= job.High {
+				p.preempt(t, slots, n, within, excess)
+			}
 		}
 		p.lastWant = append(p.lastWant, peer.Want{CPUs: s.CPUs, GPUs: s.GPUs, MemoryGB: s.MemoryGB, Types: s.Types, AnyType: s.AnyType,
 			Zone: s.Zone, Spot: s.Spot, Priority: int(s.Priority), Count: missed, Run: s.Estimate})
--- a/internal/placer/preempt.go
+++ b/internal/placer/preempt.go
@@ -140,23 +140,20 @@
 			ran = now - r.since
 		}
 		y := victim{task: x, spec: s}
-		// A start that is stopped within half a minute was of no use to its user.
-		young := ran < 30*loop.Second
-		if s.Checkpoint > 0 {
-			if !urgent {
-				y.grace = s.Save + loop.Second
-			}
+		switch {
+		case s.Checkpoint > 0 && !urgent:
+			y.grace = s.Save + loop.Second
+			ran = s.Save
+		case s.Checkpoint > 0:
 			ran %= s.Checkpoint
-		}
-		if !urgent && !within && (s.Checkpoint == 0 || young) {
-			// Work that is neither urgent nor guaranteed stops only what can
-			// save itself.
-			continue
+		case !urgent && s.Priority < t.j.Spec.Priority && ran > 10*loop.Second:
+			// Work that cannot be saved is stopped only for what is urgent,
+			// or for a guarantee.
+			if !within {
+				continue
+			}
 		}
 		y.loss = float64(ran) / 1e6 * s.CPUs
-		if young {
-			y.loss += 20 * s.CPUs
-		}
 		if s.Priority >= t.j.Spec.Priority {
 			y.loss += 60 * s.CPUs
 		}
