--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -104,6 +104,7 @@
 type entryOf struct {
 	t      *table
 	within bool // within its team's guarantee
+	turn   loop.Micros
 }
 
 // rank: what is urgent goes first, then what lies within a guarantee.
@@ -132,7 +133,7 @@
 				if within == nil {
 					within = p.guaranteed(tm)
 				}
-				q = append(q, entryOf{t, within[t]})
+				q = append(q, entryOf{t, within[t], t.turn()})
 			}
 		}
 	}
@@ -140,15 +141,22 @@
 		if x, y := q[a].rank(), q[b].rank(); x != y {
 			return x > y
 		}
-		x, y := q[a].t.j, q[b].t.j
-		if x.At != y.At {
-			return x.At < y.At
+		if x, y := q[a].turn, q[b].turn; x != y {
+			return x < y
 		}
-		return x.ID < y.ID
+		return q[a].t.j.ID < q[b].t.j.ID
 	})
 	return q
 }
 
+// turn orders jobs of one rank: first come, first served, but a small job may
+// overtake a large one by the time that the larger work takes its team.
+func (t *table) turn() loop.Micros {
+	s := t.j.Spec
+	work := float64(t.j.Tasks-t.completed) * float64(s.Estimate) * s.CPUs
+	return t.j.At + loop.Micros(2*work/max(t.team.cfg.CPUs, 1))
+}
+
 // place gives waiting tasks to machines with free room; those that find none are misses.
 func (p *Placer) place() {
 	q := p.queue()
