A node that hears no peer hands its teams over: a cut owner kept them for a minute

Cause: cut from peers and workers but not from the state service, a node renewed its lease, so nobody could place its teams' tasks.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -68,6 +68,8 @@
 	MayAnswer func() (ok bool, coach string)
 	// MayStart tells whether new starts may be passed on.
 	MayStart func() bool
+	// Isolated tells whether no peer can be heard.
+	Isolated func() bool
 	Epoch    func() uint64
 	Raise    func(done func())
 	Type     func(name string) (wire.MachineType, bool)
@@ -90,11 +92,12 @@
 	hosted map[string]*machine
 	views  map[string]*View
 	gone   map[string]bool
+	sentOn map[string]loop.Micros
 }
 
 // New makes the machine room.
 func New(r loop.Runner, log *slog.Logger, h Host, direct Direct) *Agent {
-	a := &Agent{r: r, log: log, h: h, direct: direct, hosted: map[string]*machine{}, views: map[string]*View{}, gone: map[string]bool{}}
+	a := &Agent{r: r, log: log, h: h, direct: direct, hosted: map[string]*machine{}, views: map[string]*View{}, gone: map[string]bool{}, sentOn: map[string]loop.Micros{}}
 	loop.Every(r, 500*loop.Millisecond, a.tick)
 	return a
 }
@@ -133,6 +136,13 @@
 		reply(Answer{421, wire.ReportTo{Node: coach}})
 		return
 	}
+	if a.h.Isolated() && a.r.Now()-a.sentOn[r.Machine] > 10*loop.Second {
+		// What is heard here does not reach the owners: the worker is sent on
+		// once, and answered should it find nobody else.
+		a.sentOn[r.Machine] = a.r.Now()
+		reply(Answer{421, wire.ReportTo{}})
+		return
+	}
 	if a.gone[r.Machine] {
 		reply(Answer{503, wire.Error{Error: "machine is deleted"}})
 		return
@@ -524,6 +534,7 @@
 		return
 	}
 	a.gone[name] = true
+	delete(a.sentOn, name)
 	delete(a.hosted, name)
 	delete(a.views, name)
 }
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -79,8 +79,11 @@
 	OnOwned func(team string, owned bool, claim Owner)
 	// OnLeader is called when this node gains or loses the leadership.
 	OnLeader func(leads bool, claim Owner)
+	// Isolated tells whether no peer can be heard, although the state service can.
+	Isolated func() bool
 	mine     map[string]Owner
 	nodes    map[string]nodeRecord
+	handed   loop.Micros // when owned keys were last handed over
 }
 
 // New makes the membership; Start begins it.
@@ -308,6 +311,14 @@
 		return
 	}
 	now := b.r.Now()
+	isolated := b.Isolated != nil && len(b.nodes) > 1 && b.Isolated()
+	if isolated && len(b.mine) > 0 && (b.handed == 0 || now-b.handed > 30*loop.Second) {
+		// The lease holds, but nothing decided here reaches a machine that
+		// reports elsewhere: those who hear each other should own what it owns.
+		// Should nobody take it, it is claimed again below, and kept for a while.
+		b.handed = now
+		b.handOver()
+	}
 	owned := len(b.mine)
 	nodes := max(len(b.nodes), 1)
 	fair := (len(b.teams) + nodes) / nodes
@@ -329,6 +340,9 @@
 		if owned >= fair {
 			wait = 1200 * loop.Millisecond
 		}
+		if isolated {
+			wait += 4 * loop.Second
+		}
 		if now-at >= wait {
 			owned++
 			b.claim(key)
@@ -336,6 +350,18 @@
 	}
 }
 
+// handOver gives everything owned back, so that others may claim it.
+func (b *Member) handOver() {
+	for key, o := range b.mine {
+		b.log.Info("hands over, since no peer is heard", "key", key)
+		b.c.Txn(store.Leases, wire.Txn{If: []wire.Cond{{Key: key, Mark: o.Mark}}, Then: []wire.Change{{Delete: key}}}, func(r store.Result) {
+			if r.Outcome == store.Applied {
+				b.m.Apply(key, nil, r.Tally, true)
+			}
+		})
+	}
+}
+
 func (b *Member) claim(key string) {
 	b.asking[key] = true
 	lease := b.lease
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -40,12 +40,14 @@
 	front    *front.Front
 	workers  *fasthttp.Client
 	progress map[string]job.Counts
+	began    loop.Micros
 }
 
 // New wires a node; Run works it.
 func New(cfg *config.Config, log *slog.Logger) *Node {
 	n := &Node{cfg: cfg, log: log, loop: loop.New(), progress: map[string]job.Counts{}}
 	l := n.loop
+	n.began = l.Now()
 	nodes := max(cfg.Cluster.Nodes, 1)
 	n.client = store.NewClient(l, store.NewDoer(cfg.Outside.State, 32), log, cfg.Cluster.State.RPS, cfg.Cluster.State.WriteRPS, nodes)
 	n.mirror = store.NewMirror(n.client, store.NewDoer(cfg.Outside.State, 4), member.Prefix)
@@ -73,6 +75,7 @@
 		Label:     cfg.Label,
 		MayAnswer: n.mayAnswer,
 		MayStart:  n.mayStart,
+		Isolated:  func() bool { return n.isolated() && n.member.Nodes() > 1 },
 		Epoch:     n.member.Epoch,
 		Raise:     n.member.RaiseEpoch,
 		Type:      func(name string) (wire.MachineType, bool) { return n.rental.Type(name) },
@@ -161,6 +164,7 @@
 		}
 		n.placer.Job(j)
 	}
+	n.member.Isolated = n.isolated
 	n.member.OnOwned = n.placer.Owned
 	n.member.OnLeader = n.rental.Lead
 	n.net.Receive = n.receive
@@ -227,6 +231,19 @@
 	return k.Status, k.Heard != 0 && age < 2500*loop.Millisecond && late < 3*loop.Second+off
 }
 
+// isolated tells whether no peer was heard for a while.
+func (n *Node) isolated() bool {
+	if n.loop.Now()-n.began < 5*loop.Second {
+		return false
+	}
+	for _, label := range n.net.Peers() {
+		if n.loop.Now()-n.net.Known(label).Heard < 2500*loop.Millisecond {
+			return false
+		}
+	}
+	return len(n.net.Peers()) > 0
+}
+
 // mayStart: without state contact no new start is made, since a cancellation
 // may have been told meanwhile.
 func (n *Node) mayStart() bool { return n.member.Entitled() && n.contact() }
