--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -84,12 +84,13 @@
 	mine     map[string]Owner
 	nodes    map[string]nodeRecord
 	handed   loop.Micros // when owned keys were last handed over
+	evicted  map[string]uint64
 }
 
 // New makes the membership; Start begins it.
 func New(r loop.Runner, c *store.Client, m *store.Mirror, log *slog.Logger, label string, teams []string, ttl loop.Micros) *Member {
 	return &Member{r: r, c: c, m: m, log: log, label: label, teams: teams, ttl: ttl,
-		freeAt: map[string]loop.Micros{}, asking: map[string]bool{}, mine: map[string]Owner{}, nodes: map[string]nodeRecord{}}
+		freeAt: map[string]loop.Micros{}, asking: map[string]bool{}, mine: map[string]Owner{}, nodes: map[string]nodeRecord{}, evicted: map[string]uint64{}}
 }
 
 // Start begins when the mirror has been read.
@@ -362,6 +363,19 @@
 	}
 }
 
+// Evict ends the lease of a node that refuses connections and is not heard. That is
+// no proof that it is dead, and need not be: all it records is conditioned on its
+// claims, so one that lives merely joins again.
+func (b *Member) Evict(label string) {
+	rec, ok := b.nodes[label]
+	if !ok || label == b.label || !b.Entitled() || b.evicted[label] == rec.Lease {
+		return
+	}
+	b.evicted[label] = rec.Lease
+	b.log.Info("ends the lease of a node that refuses connections", "node", label, "lease", rec.Lease)
+	b.c.End(rec.Lease)
+}
+
 func (b *Member) claim(key string) {
 	b.asking[key] = true
 	lease := b.lease
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -169,6 +169,11 @@
 	n.member.OnLeader = n.rental.Lead
 	n.net.Receive = n.receive
 	n.net.Up = func(string) { n.agent.Republish() }
+	n.net.Refused = func(label string) {
+		if l.Now()-n.net.Known(label).Heard > 1200*loop.Millisecond && l.Now()-n.began > 5*loop.Second {
+			n.member.Evict(label)
+		}
+	}
 	n.front = front.New(l, log, cfg, front.Node{
 		Healthy: n.healthy,
 		Ready:   n.ready,
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -7,9 +7,11 @@
 	"bufio"
 	"context"
 	"encoding/binary"
+	"errors"
 	"io"
 	"log/slog"
 	"net"
+	"syscall"
 	"time"
 
 	"cleatpick/internal/agent"
@@ -124,6 +126,9 @@
 	known map[string]*Known
 	// Receive is called on the loop for every frame of a known peer.
 	Receive func(*Envelope)
+	// Refused is called on the loop when a peer's machine refuses the connection,
+	// which it does while no process listens there.
+	Refused func(label string)
 	// Up is called on the loop when a connection to a peer was made.
 	Up func(label string)
 }
@@ -223,6 +228,9 @@
 		d := net.Dialer{Timeout: time.Second}
 		c, err := d.DialContext(ctx, "tcp", l.peer.Endpoint)
 		if err != nil {
+			if errors.Is(err, syscall.ECONNREFUSED) {
+				n.r.Post(func() { n.Refused(l.peer.Label) })
+			}
 			n.drain(l)
 			select {
 			case <-ctx.Done():
