--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -432,14 +432,16 @@
 	}
 }
 
-// Close keeps starts off a machine that the leader is about to delete.
+// Close keeps starts off a machine until a time of day; a past one opens it again.
 func (a *Agent) Close(name string, until loop.Micros) {
-	if m := a.hosted[name]; m != nil && until > m.closeTo {
-		m.closeTo = until
-		if !m.view.Closed {
-			m.dirty = true
-			a.touch(m)
-		}
+	m := a.hosted[name]
+	if m == nil {
+		return
+	}
+	m.closeTo = until
+	if m.view.Closed != (a.r.Wall() < until) {
+		m.dirty = true
+		a.touch(m)
 	}
 }
 
@@ -545,6 +547,9 @@
 // View is the newest view of a machine, nil if it was never heard.
 func (a *Agent) View(name string) *View { return a.views[name] }
 
+// Room is what is free on a machine; ok is false where that is not known.
+func (a *Agent) Room(v *View, t wire.MachineType) (Room, bool) { return Free(v, t, a.spec) }
+
 // Views calls f for every machine heard and not gone.
 func (a *Agent) Views(f func(*View)) {
 	for _, v := range a.views {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -733,15 +733,23 @@
 	p.sendTally()
 }
 
-// evict lets tasks save before a spot machine is taken.
+// evict lets tasks save before a spot machine is taken, or one that is not needed is given back.
 func (p *Placer) evict(now, wall loop.Micros) {
 	p.agent.Views(func(v *agent.View) {
-		if v.NoticeAt == 0 {
+		if v.NoticeAt == 0 && !v.Closed {
 			return
 		}
 		for r := range p.on[v.Name] {
 			s := r.t.j.Spec
 			x := r.t.task(r.i)
+			if v.NoticeAt == 0 {
+				// The machine is not needed: what can save itself moves, unless
+				// its start would then have been of no use.
+				if s.Checkpoint > 0 && x.running && now-x.since > 30*loop.Second {
+					p.stop(r.t, r.i, s.Save+loop.Second)
+				}
+				continue
+			}
 			if s.Checkpoint > 0 && x.seen && v.NoticeAt-wall < s.Save+3*loop.Second {
 				p.stop(r.t, r.i, s.Save+loop.Second)
 			}
--- a/internal/rental/rental.go
+++ b/internal/rental/rental.go
@@ -35,13 +35,14 @@
 const (
 	Booting  MachineState = iota // rented, not heard yet
 	Up                           // heard
+	Draining                     // not needed: takes no starts, what can save itself moves
 	Closing                      // its host is asked to keep starts off it
 	Deleting                     // the cloud is asked to delete it
 	Gone                         // the cloud has deleted it
 )
 
 func (s MachineState) String() string {
-	return [...]string{"booting", "up", "closing", "deleting", "gone"}[s]
+	return [...]string{"booting", "up", "draining", "closing", "deleting", "gone"}[s]
 }
 
 type machine struct {
@@ -60,6 +61,7 @@
 	probes   int
 	asked    loop.Micros
 	firstSaw loop.Micros
+	spareTo  loop.Micros // end of the standby of a machine that is not needed; 0: needed
 }
 
 // Order is a recorded rental request. Its name is never used again.
@@ -148,6 +150,7 @@
 	catAt    loop.Micros
 	listed   bool // a list was read in this leadership
 	goneAt   map[string]loop.Micros
+	spareAt  loop.Micros
 	forget   []string
 	heardAt  map[string]loop.Micros
 	// OnGone is called once for every machine that is known to be deleted.
@@ -277,7 +280,7 @@
 		}
 	} else {
 		m.emptyTo = 0
-		if m.state == Closing && m.why == "idle" {
+		if m.state == Closing && m.why == "idle" && !v.Closed {
 			t.setState(m, Up, "in use again")
 		}
 	}
@@ -450,6 +453,7 @@
 	for name := range suspects {
 		t.adopt(name, "", "", false)
 	}
+	t.spare(now)
 	for _, m := range t.machines {
 		typ, known := t.byName[m.typ]
 		switch m.state {
@@ -497,7 +501,7 @@
 			case m.emptyTo != 0 && now > m.emptyTo && v != nil && empty(v):
 				t.setState(m, Closing, "idle")
 			}
-		case Closing:
+		case Draining, Closing:
 			v := t.agent.View(m.name)
 			if v == nil {
 				t.setState(m, Deleting, m.why)
