--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -744,8 +744,9 @@
 			x := r.t.task(r.i)
 			if v.NoticeAt == 0 {
 				// The machine is not needed: what can save itself moves, unless
-				// its start would then have been of no use.
-				if s.Checkpoint > 0 && x.running && now-x.since > 30*loop.Second {
+				// its start would then have been of no use, or it ends soon anyway.
+				ran := now - x.since
+				if s.Checkpoint > 0 && x.running && ran > 30*loop.Second && s.Estimate-ran > 20*loop.Second {
 					p.stop(r.t, r.i, s.Save+loop.Second)
 				}
 				continue
--- a/internal/rental/spare.go
+++ b/internal/rental/spare.go
@@ -10,7 +10,7 @@
 
 // reserve is the part of what is in use that is kept free for what comes next,
 // before a machine counts as not needed.
-const reserve = 0.25
+const reserve = 0.35
 
 type sized struct {
 	m    *machine
