--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -49,6 +49,7 @@
 	token    uint64
 	pending  map[key]*pending
 	refused  map[key]loop.Micros // dropped starts, remembered until they have expired
+	reserved map[key]loop.Micros // room that owners have chosen and are still recording, and for how long
 	stops    map[key]request
 	direct   bool
 	flushing bool
@@ -160,7 +161,7 @@
 		return
 	}
 	if m == nil {
-		m = &machine{pending: map[key]*pending{}, refused: map[key]loop.Micros{}, stops: map[key]request{}}
+		m = &machine{pending: map[key]*pending{}, refused: map[key]loop.Micros{}, reserved: map[key]loop.Micros{}, stops: map[key]request{}}
 		a.hosted[r.Machine] = m
 	}
 	epoch := a.h.Epoch()
@@ -323,20 +324,17 @@
 func (a *Agent) touch(m *machine) {
 	now := a.r.Now()
 	v := &m.view
+	old := a.views[v.Name]
 	closed := a.r.Wall() < m.closeTo
-	if closed != v.Closed || len(v.Pending) != len(m.pending) {
+	a.listPending(m)
+	if closed != v.Closed || (old != nil && len(v.Pending) != len(old.Pending)) {
 		m.dirty = true
 	}
-	old := a.views[v.Name]
 	if old == nil || old.Settled != v.Settled || old.Host != v.Host {
 		m.dirty = true
 	}
 	v.Closed = closed
 	v.Rev++
-	v.Pending = v.Pending[:0:0]
-	for k := range m.pending {
-		v.Pending = append(v.Pending, Task{Task: k.task, Attempt: k.attempt})
-	}
 	c := *v
 	a.views[v.Name] = &c
 	if m.dirty || now-m.sent > 2*loop.Second {
@@ -346,6 +344,34 @@
 	a.h.Changed(&c)
 }
 
+// listPending lists the starts that may still be carried out, and those to come.
+func (a *Agent) listPending(m *machine) {
+	now := a.r.Now()
+	v := &m.view
+	v.Pending = make([]Task, 0, len(m.pending)+len(m.reserved))
+	for k := range m.pending {
+		v.Pending = append(v.Pending, Task{Task: k.task, Attempt: k.attempt})
+	}
+	for k, until := range m.reserved {
+		if now > until || m.pending[k] != nil || v.Find(k.task, k.attempt) != nil {
+			delete(m.reserved, k)
+			continue
+		}
+		v.Pending = append(v.Pending, Task{Task: k.task, Attempt: k.attempt})
+	}
+}
+
+// Reserve tells other owners, while an attempt is being recorded, that its room is
+// taken. It is a courtesy that saves vain starts; what counts is the start itself.
+func (a *Agent) Reserve(s Start) {
+	m := a.hosted[s.Machine]
+	if m == nil || s.Session != m.view.Session || a.job(s.Task) == nil {
+		return
+	}
+	m.reserved[key{s.Task, s.Attempt}] = a.r.Now() + 700*loop.Millisecond
+	a.touch(m)
+}
+
 // Learn takes in a view of a machine that reports to another node.
 func (a *Agent) Learn(v *View) {
 	if a.gone[v.Name] || v.Host == a.h.Label || !v.newer(a.views[v.Name]) {
@@ -392,6 +418,15 @@
 		return
 	}
 	j := a.job(s.Task)
+	if j == nil && wall < s.Expiry {
+		// Its record is on its way here: the owner saw the job a moment earlier.
+		a.r.After(40*loop.Millisecond, func() { a.Start(s) })
+		return
+	}
+	if _, ok := m.reserved[k]; ok {
+		delete(m.reserved, k)
+		a.listPending(m)
+	}
 	typ, known := a.h.Type(m.view.Type)
 	switch {
 	case wall >= s.Expiry:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -107,6 +107,13 @@
 			}
 			n.net.To(host, func(e *peer.Envelope) { e.Starts = append(e.Starts, s) })
 		},
+		Reserve: func(host string, s agent.Start) {
+			if host == cfg.Label {
+				n.agent.Reserve(s)
+				return
+			}
+			n.net.To(host, func(e *peer.Envelope) { e.Reserves = append(e.Reserves, s) })
+		},
 		Stop: func(host string, s agent.Stop) {
 			if host == cfg.Label {
 				n.agent.Stop(s)
@@ -203,6 +210,9 @@
 	for _, s := range e.Stops {
 		n.agent.Stop(s)
 	}
+	for _, s := range e.Reserves {
+		n.agent.Reserve(s)
+	}
 	for _, s := range e.Starts {
 		n.agent.Start(s)
 	}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -96,6 +96,7 @@
 	Progress []Progress    `cbor:"9,keyasint,omitempty"`
 	Usage    []Usage       `cbor:"10,keyasint,omitempty"`
 	Claims   []Claim       `cbor:"11,keyasint,omitempty"`
+	Reserves []agent.Start `cbor:"12,keyasint,omitempty"`
 }
 
 const (
--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -100,6 +100,11 @@
 	return true
 }
 
+type hostStart struct {
+	host  string
+	start agent.Start
+}
+
 // entryOf is a job with waiting tasks in the order of service.
 type entryOf struct {
 	t      *table
@@ -169,6 +174,7 @@
 	now := p.r.Now()
 	stops := now >= p.pre.nextRun
 	var excess map[string]float64
+	var chosen []hostStart
 	for _, e := range q {
 		t := e.t
 		s := t.j.Spec
@@ -194,6 +200,7 @@
 			best.used += s.CPUs
 			p.useClaim(best.v.Name, t.j.ID)
 			p.setTask(t, i, Recording)
+			chosen = append(chosen, hostStart{best.v.Host, agent.Start{Machine: x.machine, Session: x.session, Task: t.name(i), Attempt: x.attempt}})
 			p.dirty(t, t.chunkOf(i), 3*loop.Millisecond)
 		}
 		missed := p.missed(t)
@@ -220,6 +227,9 @@
 		p.lastWant = append(p.lastWant, peer.Want{CPUs: s.CPUs, GPUs: s.GPUs, MemoryGB: s.MemoryGB, Types: s.Types, AnyType: s.AnyType,
 			Zone: s.Zone, Spot: s.Spot, Priority: int(s.Priority), Count: missed, Run: s.Estimate})
 	}
+	for _, c := range chosen {
+		p.n.Reserve(c.host, c.start) // last, since a local host answers with a new view
+	}
 	if len(p.pre.news) > 0 {
 		p.n.Claims(p.pre.news)
 		p.pre.news = nil
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -23,6 +23,8 @@
 	// Start, Stop reach the named host, which may be this node.
 	Start func(host string, s agent.Start)
 	Stop  func(host string, s agent.Stop)
+	// Reserve tells the host of a choice that is still being recorded.
+	Reserve func(host string, s agent.Start)
 	// Tally hands the list of misses to the leader.
 	Tally func(peer.Tally)
 	// Tell hands the counts of owned jobs to the peers.
