--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -40,6 +40,7 @@
 	Class      string   `cbor:"c"`
 	Team       string   `cbor:"t"`
 	Service    bool     `cbor:"sv,omitempty"`
+	Gang       bool     `cbor:"ga,omitempty"` // all tasks start together or none does
 	Priority   Priority `cbor:"p"`
 	Tasks      int      `cbor:"n"`
 	CPUs       float64  `cbor:"cp"`
--- a/internal/job/validate.go
+++ b/internal/job/validate.go
@@ -43,7 +43,7 @@
 		return "", nil, false
 	}
 	p, known := priorities[*w.Priority]
-	if !known || (*w.Kind != wire.KindArray && *w.Kind != wire.KindService) {
+	if !known || (*w.Kind != wire.KindArray && *w.Kind != wire.KindService && *w.Kind != wire.KindGang) {
 		return "", nil, false
 	}
 	for _, t := range w.Types {
@@ -60,7 +60,7 @@
 		}
 		return *p
 	}
-	s = &Spec{Class: *w.Class, Team: *w.Team, Service: *w.Kind == wire.KindService, Priority: p, Tasks: int(*w.Tasks),
+	s = &Spec{Class: *w.Class, Team: *w.Team, Service: *w.Kind == wire.KindService, Gang: *w.Kind == wire.KindGang, Priority: p, Tasks: int(*w.Tasks),
 		CPUs: *w.CPUs, GPUs: *w.GPUs, MemoryGB: *w.MemoryGB, Image: *w.Image, ImageGB: *w.ImageGB,
 		Types: w.Types, AnyType: w.Types == nil, OneZone: *w.OneZone, Spread: *w.Spread, Spot: *w.Spot,
 		Estimate: loop.Seconds(*w.EstimateS), Checkpoint: loop.Seconds(*w.CheckpntS), Save: loop.Seconds(*w.SaveS),
@@ -79,7 +79,7 @@
 		return false
 	}
 	n := 1.0
-	if s.Service {
+	if s.Service || s.Gang {
 		n = float64(s.Tasks)
 	}
 	if s.CPUs*n > team.CPUsMax+1e-9 || s.GPUs*n > team.GPUsMax+1e-9 {
--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"maps"
 	"math"
 	"sort"
 
@@ -182,6 +183,10 @@
 		if t.failures >= 3 && len(t.failedOn) >= 3 {
 			probe = 1 - t.inUse // one task at a time tells whether it still fails
 		}
+		if s.Gang && !p.gangFits(t, slots) {
+			probe = 0
+			p.lastWant = append(p.lastWant, p.want(t, t.waiting()))
+		}
 		for n := t.waiting(); n > 0 && probe > 0; n-- {
 			tm := t.team
 			if tm.cpus+s.CPUs > tm.cfg.CPUsMax+1e-9 || tm.gpus+s.GPUs > tm.cfg.GPUsMax+1e-9 {
@@ -224,8 +229,7 @@
 				p.preempt(t, slots, n, within, excess)
 			}
 		}
-		p.lastWant = append(p.lastWant, peer.Want{CPUs: s.CPUs, GPUs: s.GPUs, MemoryGB: s.MemoryGB, Types: s.Types, AnyType: s.AnyType,
-			Zone: s.Zone, Spot: s.Spot, Priority: int(s.Priority), Count: missed, Run: s.Estimate})
+		p.lastWant = append(p.lastWant, p.want(t, missed))
 	}
 	for _, c := range chosen {
 		p.n.Reserve(c.host, c.start) // last, since a local host answers with a new view
@@ -236,6 +240,39 @@
 	}
 }
 
+func (p *Placer) want(t *table, n int) peer.Want {
+	s := t.j.Spec
+	return peer.Want{CPUs: s.CPUs, GPUs: s.GPUs, MemoryGB: s.MemoryGB, Types: s.Types, AnyType: s.AnyType,
+		Zone: s.Zone, Spot: s.Spot, Priority: int(s.Priority), Count: n, Run: s.Estimate}
+}
+
+// gangFits tells whether all waiting tasks of a gang find room at once, while none
+// of its tasks is left over from an earlier start.
+func (p *Placer) gangFits(t *table, slots []*slot) bool {
+	s, tm, n := t.j.Spec, t.team, t.waiting()
+	if t.inUse > 0 || tm.cpus+s.CPUs*float64(n) > tm.cfg.CPUsMax+1e-9 || tm.gpus+s.GPUs*float64(n) > tm.cfg.GPUsMax+1e-9 {
+		return false
+	}
+	trial := make([]*slot, len(slots))
+	for i, sl := range slots {
+		c := *sl
+		trial[i] = &c
+	}
+	zones := t.zones
+	t.zones = maps.Clone(zones)
+	defer func() { t.zones = zones }()
+	for ; n > 0; n-- {
+		best := p.choose(t, trial)
+		if best == nil {
+			return false
+		}
+		best.room.Take(s)
+		best.used += s.CPUs
+		t.zones[best.v.Zone]++
+	}
+	return true
+}
+
 // missed is how many of a job's tasks wait for room and not for their team's limit.
 func (p *Placer) missed(t *table) int {
 	n := t.waiting()
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -135,7 +135,8 @@
 
 	JobQueued, JobRunning, JobDone, JobCancelled = "pending", "running", "done", "withdrawn"
 
-	KindArray, KindService = "batch", "daemon"
+	// KindGang is not in the protocol page; the workers know it all the same.
+	KindArray, KindService, KindGang = "batch", "daemon", "group"
 )
 
 // MachineType is a row of the cloud's catalog.
