--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,7 +28,7 @@
 type Node struct {
 	cfg      *config.Config
 	log      *slog.Logger
-	loop     *loop.Loop
+	loop     loop.Runner
 	client   *store.Client
 	mirror   *store.Mirror
 	member   *member.Member
@@ -38,27 +38,23 @@
 	rental   *rental.Rental
 	net      *peer.Net
 	front    *front.Front
-	workers  *fasthttp.Client
+	out      Outside
 	progress map[string]job.Counts
 	began    loop.Micros
 }
 
-// New wires a node; Run works it.
+// Outside is what a node reaches beyond itself; tests put stand-ins here.
+type Outside struct {
+	Loop    loop.Runner
+	State   store.Doer
+	Watch   store.Doer
+	Cloud   store.Doer
+	Workers func(addr, method, path string, body []byte, timeout time.Duration) store.Response
+}
+
+// New wires a node to the real outside; Run works it.
 func New(cfg *config.Config, log *slog.Logger) *Node {
-	n := &Node{cfg: cfg, log: log, loop: loop.New(), progress: map[string]job.Counts{}}
-	l := n.loop
-	n.began = l.Now()
-	nodes := max(cfg.Cluster.Nodes, 1)
-	n.client = store.NewClient(l, store.NewDoer(cfg.Outside.State, 32), log, cfg.Cluster.State.RPS, cfg.Cluster.State.WriteRPS, nodes)
-	n.mirror = store.NewMirror(n.client, store.NewDoer(cfg.Outside.State, 4), member.Prefix)
-	var teams []string
-	for _, t := range cfg.Cluster.Teams {
-		teams = append(teams, t.Name)
-	}
-	n.member = member.New(l, n.client, n.mirror, log, cfg.Label, teams, loop.Seconds(cfg.Operator.NodeLeaseS))
-	n.book = job.NewBook(l, n.client, n.mirror, log, cfg.Cluster.State.TxnOps)
-	n.net = peer.New(l, log, cfg.Label, cfg.Known)
-	n.workers = &fasthttp.Client{
+	workers := &fasthttp.Client{
 		MaxConnsPerHost:               2,
 		MaxIdleConnDuration:           20 * time.Second,
 		NoDefaultUserAgentHeader:      true,
@@ -71,6 +67,32 @@
 		Dial:                          func(a string) (net.Conn, error) { return fasthttp.DialTimeout(a, time.Second) },
 		DisableHeaderNamesNormalizing: true,
 	}
+	return Wire(cfg, log, Outside{
+		Loop:  loop.New(),
+		State: store.NewDoer(cfg.Outside.State, 32),
+		Watch: store.NewDoer(cfg.Outside.State, 4),
+		Cloud: store.NewDoer(cfg.Outside.Cloud, 4),
+		Workers: func(addr, method, path string, body []byte, timeout time.Duration) store.Response {
+			return exchange(workers, addr, method, path, body, timeout)
+		},
+	})
+}
+
+// Wire wires a node to a given outside.
+func Wire(cfg *config.Config, log *slog.Logger, out Outside) *Node {
+	n := &Node{cfg: cfg, log: log, loop: out.Loop, out: out, progress: map[string]job.Counts{}}
+	l := n.loop
+	n.began = l.Now()
+	nodes := max(cfg.Cluster.Nodes, 1)
+	n.client = store.NewClient(l, out.State, log, cfg.Cluster.State.RPS, cfg.Cluster.State.WriteRPS, nodes)
+	n.mirror = store.NewMirror(n.client, out.Watch, member.Prefix)
+	var teams []string
+	for _, t := range cfg.Cluster.Teams {
+		teams = append(teams, t.Name)
+	}
+	n.member = member.New(l, n.client, n.mirror, log, cfg.Label, teams, loop.Seconds(cfg.Operator.NodeLeaseS))
+	n.book = job.NewBook(l, n.client, n.mirror, log, cfg.Cluster.State.TxnOps)
+	n.net = peer.New(l, log, cfg.Label, cfg.Known)
 	n.agent = agent.New(l, log, agent.Host{
 		Label:     cfg.Label,
 		MayAnswer: n.mayAnswer,
@@ -143,7 +165,7 @@
 			n.net.All(func(e *peer.Envelope) { e.Claims = append(e.Claims, c...) })
 		},
 	}, n.book, n.agent)
-	n.rental = rental.New(l, log, cfg, n.client, n.mirror, store.NewDoer(cfg.Outside.Cloud, 4), n.agent, rental.Node{
+	n.rental = rental.New(l, log, cfg, n.client, n.mirror, out.Cloud, n.agent, rental.Node{
 		Label: cfg.Label,
 		Epoch: n.member.Epoch,
 		Close: func(host string, c peer.Close) {
@@ -328,15 +350,15 @@
 }
 
 func (n *Node) commands(addr string, c wire.Commands, timeout time.Duration) store.Response {
-	return n.exchange(addr, "POST", "/commands", wire.Marshal(c), timeout)
+	return n.out.Workers(addr, "POST", "/commands", wire.Marshal(c), timeout)
 }
 
 func (n *Node) probe(addr string) bool {
-	r := n.exchange(addr, "GET", "/inspect", nil, 1500*time.Millisecond)
+	r := n.out.Workers(addr, "GET", "/inspect", nil, 1500*time.Millisecond)
 	return r.Err == nil && r.Status == 200
 }
 
-func (n *Node) exchange(addr, method, path string, body []byte, timeout time.Duration) store.Response {
+func exchange(c *fasthttp.Client, addr, method, path string, body []byte, timeout time.Duration) store.Response {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
@@ -346,7 +368,7 @@
 		req.Header.SetContentType("application/cbor")
 		req.SetBodyRaw(body)
 	}
-	if err := n.workers.DoTimeout(req, resp, timeout); err != nil {
+	if err := c.DoTimeout(req, resp, timeout); err != nil {
 		return store.Response{Err: err}
 	}
 	return store.Response{Status: resp.StatusCode(), Body: append([]byte(nil), resp.Body()...)}
@@ -360,6 +382,13 @@
 	n.net.All(func(e *peer.Envelope) { e.Status = s })
 }
 
+// Begin starts the slices, on the loop.
+func (n *Node) Begin() {
+	n.member.Start()
+	n.mirror.Start()
+	loop.Every(n.loop, 700*loop.Millisecond, n.status)
+}
+
 // Run listens and works until the context ends.
 func (n *Node) Run(ctx context.Context) error {
 	users, err := net.Listen("tcp4", n.cfg.ClientListen)
@@ -371,12 +400,10 @@
 		return fmt.Errorf("peer_listen: %w", err)
 	}
 	g, ctx := errgroup.WithContext(ctx)
-	n.loop.Post(func() {
-		n.member.Start()
-		n.mirror.Start()
-	})
-	loop.Every(n.loop, 700*loop.Millisecond, n.status)
-	g.Go(func() error { return n.loop.Run(ctx) })
+	n.loop.Post(n.Begin)
+	if l, ok := n.loop.(*loop.Loop); ok {
+		g.Go(func() error { return l.Run(ctx) })
+	}
 	g.Go(func() error { return n.net.Run(ctx, peers) })
 	g.Go(func() error { return n.front.Serve(users) })
 	g.Go(func() error {
--- /dev/null
+++ b/internal/node/sim_test.go
@@ -0,0 +1,109 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+
+	"cleatpick/internal/loop"
+)
+
+// trouble lets one random thing go wrong, and ends it some time later.
+func (w *world) trouble() {
+	r := w.rng
+	label := w.labels[r.IntN(3)]
+	mode := []cutMode{dropping, holding}[r.IntN(2)]
+	cutAll := func(d loop.Micros, names ...string) {
+		for _, n := range names {
+			w.cut[n] = mode
+		}
+		w.at(d, func() {
+			for _, n := range names {
+				delete(w.cut, n)
+			}
+		})
+	}
+	toPeers := func() (out []string) {
+		for _, p := range w.labels {
+			if p != label {
+				out = append(out, label+">"+p, p+">"+label)
+			}
+		}
+		return out
+	}
+	d := w.between(2*loop.Second, 25*loop.Second)
+	switch r.IntN(9) {
+	case 0:
+		w.kill(label)
+	case 1:
+		for _, l := range w.labels {
+			w.kill(l)
+		}
+	case 2: // only the state service is lost
+		cutAll(d, label+">state", label+">cloud")
+	case 3: // only the workers are lost
+		cutAll(d, label+">workers")
+	case 4: // everything but the state service is lost
+		cutAll(d, append(toPeers(), label+">workers")...)
+	case 5: // everything is lost
+		cutAll(d, append(toPeers(), label+">workers", label+">state", label+">cloud")...)
+	case 6:
+		w.state.SetDown(true)
+		w.at(d, func() { w.state.SetDown(false) })
+	case 7: // machines are taken back in a wave, with no notice
+		for name, x := range w.workers {
+			if !x.gone && x.w.Spot && name[len(name)-1]%2 == 0 {
+				w.cloud.Lose(name)
+			}
+		}
+	case 8: // a machine hangs, and resumes
+		for _, x := range w.workers {
+			if !x.gone {
+				x.hanging = true
+				w.at(w.between(loop.Second, 14*loop.Second), func() { x.hanging = false })
+				break
+			}
+		}
+	}
+	w.at(w.between(4*loop.Second, 18*loop.Second), func() {
+		if w.now < 3600*loop.Second+150*loop.Second {
+			w.trouble()
+		}
+	})
+}
+
+// The real nodes are played against a plain model of workers, cloud and state
+// service, with crashes, cuts, outages and late messages. The referee checks every
+// rule at every start and every answer; afterwards everything must get done.
+func TestRulesUnderTroubles(t *testing.T) {
+	seeds := uint64(16)
+	if testing.Short() {
+		seeds = 4
+	}
+	for seed := uint64(1); seed <= seeds; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, seed)
+			for i := range 45 {
+				w.at(w.between(loop.Second, 140*loop.Second), func() { w.addJob(i) })
+			}
+			w.at(12*loop.Second, w.trouble)
+			w.at(0, w.live)
+			w.at(0, w.checkCancelled)
+			w.run(3600*loop.Second + 600*loop.Second)
+			for _, j := range w.jobs {
+				if !j.accepted {
+					t.Errorf("%s was never accepted", j.id)
+				}
+				if !j.done && j.withdrawn == 0 && !j.broken {
+					t.Errorf("%s is not done at the end", j.id)
+				}
+			}
+			if w.starts < 50 {
+				t.Errorf("only %d tasks were started", w.starts)
+			}
+			if n := len(w.active); n > 0 {
+				t.Errorf("%d tasks are still on machines", n)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/node/world_test.go
@@ -0,0 +1,552 @@
+package node
+
+import (
+	"container/heap"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"sort"
+	"testing"
+	"time"
+
+	"cleatpick/internal/config"
+	"cleatpick/internal/job"
+	"cleatpick/internal/loop"
+	"cleatpick/internal/peer"
+	"cleatpick/internal/standin"
+	"cleatpick/internal/store"
+	"cleatpick/internal/wire"
+
+	"cleatpick/internal/agent"
+)
+
+// A world is the whole deployment under hand-driven time: real nodes wired to
+// stand-ins, with a referee that knows the rules and nothing of the code.
+
+type event struct {
+	at  loop.Micros
+	seq int
+	f   func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	if e[i].at != e[j].at {
+		return e[i].at < e[j].at
+	}
+	return e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+type world struct {
+	t       *testing.T
+	rng     *rand.Rand
+	now     loop.Micros
+	seq     int
+	queue   events
+	state   *standin.State
+	cloud   *standin.Cloud
+	labels  []string
+	nodes   map[string]*simNode
+	workers map[string]*simWorker
+	jobs    map[string]*simJob
+	cut     map[string]cutMode // "a>b", "a>state", "a>workers"
+	active  map[string]string  // task: machine
+	doneT   map[string]bool
+	teams   map[string]float64 // use by team
+	cfg     config.Config
+	starts  int
+}
+
+type cutMode int
+
+const (
+	open cutMode = iota
+	dropping
+	holding // delivered when the cut ends
+)
+
+type simNode struct {
+	n     *Node
+	alive bool
+	gen   int
+	off   loop.Micros
+}
+
+type simWorker struct {
+	w       *standin.Worker
+	at      int // index of the node it reports to
+	busy    bool
+	hanging bool
+	gone    bool
+}
+
+type simJob struct {
+	id        string
+	spec      *job.Spec
+	run       loop.Micros
+	broken    bool
+	accepted  bool
+	done      bool
+	withdrawn loop.Micros
+	asked     bool // its user asked to cancel it
+}
+
+func (w *world) at(d loop.Micros, f func()) {
+	w.seq++
+	heap.Push(&w.queue, event{w.now + max(d, 0) + 1, w.seq, f})
+}
+
+func (w *world) fail(format string, args ...any) {
+	w.t.Helper()
+	w.t.Fatalf("at %.3f s: %s", float64(w.now)/1e6-3600, fmt.Sprintf(format, args...))
+}
+
+// runner is one life of a node's process.
+type runner struct {
+	w   *world
+	s   *simNode
+	gen int
+}
+
+func (r runner) Now() loop.Micros  { return r.w.now }
+func (r runner) Wall() loop.Micros { return 1_700_000_000_000_000 + r.w.now + r.s.off }
+func (r runner) Post(f func())     { r.After(0, f) }
+func (r runner) After(d loop.Micros, f func()) {
+	r.w.at(d, func() {
+		if r.s.alive && r.s.gen == r.gen {
+			f()
+		}
+	})
+}
+func (r runner) Go(f func()) { r.After(r.w.between(loop.Millisecond, 8*loop.Millisecond), f) }
+
+func (w *world) between(a, b loop.Micros) loop.Micros { return a + w.rng.Int64N(b-a+1) }
+
+var errLost = errors.New("no answer")
+
+// link is a connection that loses, or carries out late, what crosses a cut.
+type link struct {
+	w    *world
+	name string
+	do   func(method, path string, body []byte) store.Response
+}
+
+func (l link) Do(method, path string, body []byte, _ time.Duration) store.Response {
+	return l.w.cross(l.name, func() store.Response { return l.do(method, path, body) })
+}
+
+func (w *world) cross(name string, f func() store.Response) store.Response {
+	switch w.cut[name] {
+	case dropping:
+		return store.Response{Err: errLost}
+	case holding:
+		w.at(w.between(loop.Second, 40*loop.Second), func() { f() }) // late, with nobody listening
+		return store.Response{Err: errLost}
+	}
+	switch p := w.rng.Float64(); {
+	case p < 0.004: // the request is lost
+		return store.Response{Err: errLost}
+	case p < 0.008: // the answer is lost
+		f()
+		return store.Response{Err: errLost}
+	case p < 0.012: // it is carried out late
+		w.at(w.between(loop.Second, 20*loop.Second), func() { f() })
+		return store.Response{Err: errLost}
+	}
+	return f()
+}
+
+func newWorld(t *testing.T, seed uint64) *world {
+	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 7)), now: 3600 * loop.Second, labels: []string{"a", "b", "c"},
+		nodes: map[string]*simNode{}, workers: map[string]*simWorker{}, jobs: map[string]*simJob{}, cut: map[string]cutMode{},
+		active: map[string]string{}, doneT: map[string]bool{}, teams: map[string]float64{}}
+	c := &w.cfg
+	c.Operator = config.Defaults()
+	c.Operator.StandbyMeanS, c.Operator.OrdinaryStandbyMeanS = 30, 20
+	c.Cluster.Nodes = 3
+	c.Cluster.ClockOffMS = 100
+	c.Cluster.Teams = []config.Team{{Name: "red", CPUs: 16, CPUsMax: 24}, {Name: "blue", CPUs: 8, CPUsMax: 40}}
+	c.Cluster.Workers.ReportS, c.Cluster.Workers.LeaseS, c.Cluster.Workers.CancelS = 1, 10, 30
+	c.Cluster.State.RPS, c.Cluster.State.WriteRPS, c.Cluster.State.ValueKB, c.Cluster.State.TxnOps = 600, 300, 16, 16
+	c.Cluster.Cloud.RPS, c.Cluster.Cloud.ListLagS = 5, 2
+	c.Cluster.Limits.RAMMB, c.Cluster.Limits.MaxSockets = 100, 500
+	w.state = standin.NewState(func() loop.Micros { return w.now })
+	w.cloud = standin.NewCloud(wire.MachineType{Name: "m8", CPUs: 8, MemoryGB: 32, CacheGB: 20, FetchGBs: 1, Price: 1, SpotPrice: 0.3, BootS: 4, Zones: []string{"x", "y"}}, 6)
+	w.cloud.Up = func(m wire.Listed) { w.at(w.between(2*loop.Second, 8*loop.Second), func() { w.boot(m) }) }
+	w.cloud.Gone = w.destroy
+	for i, l := range w.labels {
+		w.nodes[l] = &simNode{off: loop.Micros(i-1) * 90 * loop.Millisecond}
+		w.startNode(l)
+	}
+	return w
+}
+
+func (w *world) startNode(label string) {
+	s := w.nodes[label]
+	if s.alive {
+		return
+	}
+	s.alive = true
+	s.gen++
+	cfg := w.cfg
+	cfg.Label = label
+	for _, p := range w.labels {
+		if p != label {
+			cfg.Known = append(cfg.Known, config.Peer{Label: p, Endpoint: p + ":1"})
+		}
+	}
+	r := runner{w, s, s.gen}
+	state := link{w, label + ">state", func(m, p string, b []byte) store.Response { return w.state.Do(m, p, b, 0) }}
+	s.n = Wire(&cfg, slog.New(slog.NewTextHandler(io.Discard, nil)), Outside{Loop: r, State: state, Watch: state,
+		Cloud: link{w, label + ">cloud", func(m, p string, b []byte) store.Response { return w.cloud.Do(m, p, b, 0) }},
+		Workers: func(addr, method, path string, body []byte, _ time.Duration) store.Response {
+			return w.direct(label, addr, path, body)
+		}})
+	s.n.net.Deliver = func(to string, frame []byte) {
+		f := append([]byte(nil), frame...)
+		d := w.between(300, 3000)
+		switch w.cut[label+">"+to] {
+		case dropping:
+			return
+		case holding:
+			d = w.between(loop.Second, 60*loop.Second)
+		}
+		w.at(d, func() { w.frame(to, f) })
+	}
+	r.Post(s.n.Begin)
+}
+
+func (w *world) frame(to string, f []byte) {
+	if s := w.nodes[to]; s.alive {
+		e := new(peer.Envelope)
+		if err := wire.Unmarshal(f, e); err != nil {
+			w.fail("a frame cannot be read: %v", err)
+		}
+		s.n.net.Take(e)
+	}
+}
+
+func (w *world) kill(label string) {
+	w.nodes[label].alive = false
+	w.at(w.between(2*loop.Second, 8*loop.Second), func() { w.startNode(label) })
+}
+
+// direct carries a command straight to a worker.
+func (w *world) direct(from, addr, path string, body []byte) store.Response {
+	x := w.workers[addr[len("worker:"):]]
+	if x == nil || x.gone || x.hanging {
+		return store.Response{Err: errLost}
+	}
+	return w.cross(from+">workers", func() store.Response {
+		if x.gone || x.hanging {
+			return store.Response{Err: errLost}
+		}
+		if path == "/inspect" {
+			return store.Response{Status: 200, Body: wire.Marshal(x.w.Report())}
+		}
+		var c wire.Commands
+		if err := wire.Unmarshal(body, &c); err != nil {
+			w.fail("a command cannot be read: %v", err)
+		}
+		status, r := x.w.Command(w.now, c)
+		return store.Response{Status: status, Body: wire.Marshal(r)}
+	})
+}
+
+func (w *world) boot(m wire.Listed) {
+	x := &simWorker{w: standin.NewWorker(w.now, loop.Seconds(w.cfg.Cluster.Workers.LeaseS)), at: w.rng.IntN(3)}
+	x.w.Name, x.w.Addr, x.w.Type, x.w.Zone, x.w.Spot = m.Name, m.Addr, m.Type, m.Zone, m.Spot
+	x.w.CPUs, x.w.MemoryGB = 8, 32
+	x.w.Job = func(id string) (standin.Job, bool) {
+		j := w.jobs[id]
+		if j == nil {
+			return standin.Job{}, false
+		}
+		return standin.Job{CPUs: j.spec.CPUs, MemoryGB: j.spec.MemoryGB, Run: j.run, Tasks: j.spec.Tasks, Broken: j.broken}, true
+	}
+	x.w.Began = func(task, _ string) { w.began(x, task) }
+	x.w.Left = func(task, why string) { w.left(task, why) }
+	x.w.Faulty = w.rng.Float64() < 0.05
+	if _, gone := w.workers[m.Name]; gone {
+		return
+	}
+	w.workers[m.Name] = x
+	w.beat(x)
+}
+
+func (w *world) destroy(name string) {
+	x := w.workers[name]
+	if x == nil {
+		w.workers[name] = &simWorker{gone: true, w: standin.NewWorker(w.now, 1)}
+		return
+	}
+	x.gone = true
+	x.w.Destroy()
+}
+
+// beat is a worker's reporting, one report in flight at a time.
+func (w *world) beat(x *simWorker) {
+	if x.gone {
+		return
+	}
+	again := func(d loop.Micros) { w.at(d, func() { w.beat(x) }) }
+	if x.hanging {
+		again(300 * loop.Millisecond)
+		return
+	}
+	x.w.Tick(w.now)
+	r := x.w.Report()
+	sent := w.now
+	label := w.labels[x.at]
+	s := w.nodes[label]
+	answered := false
+	next := func() {
+		x.at = (x.at + 1) % 3
+		again(loop.Second)
+	}
+	deliver := func() {
+		if !s.alive {
+			return
+		}
+		s.n.agent.Beat(r, func(a agent.Answer) {
+			w.at(w.between(300, 2000), func() {
+				if answered || x.gone || w.cut[label+">workers"] != open {
+					return
+				}
+				answered = true
+				if a.Status == 200 {
+					c, ok := a.Body.(wire.Commands)
+					if !ok {
+						w.fail("a report is answered with %T", a.Body)
+					}
+					if !x.hanging {
+						x.w.Answered(w.now, sent, r.Session, c)
+					}
+					again(w.between(750*loop.Millisecond, 1250*loop.Millisecond))
+					return
+				}
+				if to, ok := a.Body.(wire.ReportTo); ok && to.Node != "" && to.Node != label {
+					for i, l := range w.labels {
+						if l == to.Node {
+							x.at = i
+						}
+					}
+					again(w.between(0, 500*loop.Millisecond))
+					return
+				}
+				next()
+			})
+		})
+	}
+	switch w.cut[label+">workers"] {
+	case open:
+		w.at(w.between(300, 2000), deliver)
+	case holding:
+		w.at(w.between(5*loop.Second, 40*loop.Second), deliver) // a late report
+	}
+	w.at(4*loop.Second, func() {
+		if !answered {
+			answered = true
+			next()
+		}
+	})
+}
+
+// began and left are the referee's view of what is on the machines.
+func (w *world) began(x *simWorker, task string) {
+	w.starts++
+	id, i, _ := agent.SplitTask(task)
+	j := w.jobs[id]
+	if on, ok := w.active[task]; ok {
+		w.fail("ran_twice: %s starts on %s while it is on %s", task, x.w.Name, on)
+	}
+	if i >= j.spec.Tasks || !j.accepted && !j.asked && w.stored(id) == "" {
+		w.fail("%s starts, but was never submitted", task)
+	}
+	if !j.spec.AllowsPlace(x.w.Type, x.w.Zone, x.w.Spot) {
+		w.fail("wrong_place: %s on %s", task, x.w.Name)
+	}
+	zones := map[string]int{x.w.Zone: 1}
+	for t, m := range w.active {
+		if o, _, _ := agent.SplitTask(t); o == id {
+			zones[w.workers[m].w.Zone]++
+		}
+	}
+	if j.spec.OneZone && len(zones) > 1 || j.spec.Spread && zones[x.w.Zone] > (j.spec.Tasks+1)/2 {
+		w.fail("wrong_place: %s starts in %s beside %v", task, x.w.Zone, zones)
+	}
+	if j.withdrawn != 0 && w.now > j.withdrawn+loop.Seconds(w.cfg.Cluster.Workers.CancelS) {
+		w.fail("ran_cancelled: %s starts", task)
+	}
+	w.active[task] = x.w.Name
+	w.teams[j.spec.Team] += j.spec.CPUs
+	limit, _ := w.cfg.TeamNamed(j.spec.Team)
+	if w.teams[j.spec.Team] > limit.CPUsMax+1e-9 {
+		w.fail("quota: team %s uses %v of %v", j.spec.Team, w.teams[j.spec.Team], limit.CPUsMax)
+	}
+}
+
+func (w *world) left(task, why string) {
+	id, _, _ := agent.SplitTask(task)
+	delete(w.active, task)
+	w.teams[w.jobs[id].spec.Team] -= w.jobs[id].spec.CPUs
+	if why == wire.WhyDone {
+		w.doneT[task] = true
+	}
+}
+
+func (w *world) stored(id string) job.Phase {
+	raw, ok := w.state.Value(job.Keys + id)
+	if !ok {
+		return ""
+	}
+	var rec job.Record
+	if err := wire.Unmarshal(raw, &rec); err != nil {
+		return ""
+	}
+	return rec.Phase
+}
+
+// told checks an answer that a user got against all that was said before.
+func (w *world) told(j *simJob, a job.Answer) {
+	switch a.Code {
+	case 404:
+		if j.accepted {
+			w.fail("forgotten: %s", j.id)
+		}
+		return
+	case 200, 201:
+	default:
+		return
+	}
+	j.accepted = true
+	switch a.Phase {
+	case job.Done:
+		if j.withdrawn != 0 {
+			w.fail("went_back: %s was withdrawn, and is done", j.id)
+		}
+		for i := range j.spec.Tasks {
+			if !w.doneT[agent.TaskName(j.id, i)] {
+				w.fail("not_done: %s is called done before task %d", j.id, i)
+			}
+		}
+		j.done = true
+	case job.Withdrawn:
+		if !j.asked || j.done {
+			w.fail("went_back: %s is called withdrawn (asked %v, done %v)", j.id, j.asked, j.done)
+		}
+		if j.withdrawn == 0 {
+			j.withdrawn = w.now
+		}
+	default:
+		if j.done || j.withdrawn != 0 {
+			w.fail("went_back: %s is called %q again", j.id, a.Phase)
+		}
+	}
+}
+
+// any picks a node that takes requests.
+func (w *world) any() *Node {
+	s := w.nodes[w.labels[w.rng.IntN(3)]]
+	if !s.alive || !s.n.ready() {
+		return nil
+	}
+	return s.n
+}
+
+func (w *world) submit(j *simJob) {
+	if n := w.any(); n != nil {
+		n.book.Submit(j.id, j.spec, func(a job.Answer) { w.told(j, a) })
+	}
+	w.at(w.between(2*loop.Second, 4*loop.Second), func() {
+		if !j.accepted {
+			w.submit(j)
+		}
+	})
+}
+
+func (w *world) poll(j *simJob) {
+	if n := w.any(); n != nil {
+		n.book.Poll(j.id, func(a job.Answer) { w.told(j, a) })
+	}
+	w.at(w.between(2*loop.Second, 5*loop.Second), func() { w.poll(j) })
+}
+
+func (w *world) withdraw(j *simJob) {
+	j.asked = true
+	if j.withdrawn != 0 || j.done {
+		return
+	}
+	if n := w.any(); n != nil {
+		n.book.Withdraw(j.id, func(a job.Answer) { w.told(j, a) })
+	}
+	w.at(2*loop.Second, func() { w.withdraw(j) })
+}
+
+func (w *world) addJob(i int) {
+	r := w.rng
+	s := &job.Spec{Class: "k", Team: []string{"red", "blue"}[r.IntN(2)], Priority: job.Priority(r.IntN(3)), Tasks: 1 + r.IntN(8),
+		CPUs: float64(1 + r.IntN(3)), MemoryGB: 2, Image: "i", ImageGB: 1, AnyType: true, Spot: r.IntN(2) == 0, Estimate: 8 * loop.Second}
+	switch r.IntN(6) {
+	case 0:
+		s.Zone = "y"
+	case 1:
+		s.OneZone = true
+	case 2:
+		s.Spread = true
+	}
+	j := &simJob{id: fmt.Sprintf("job-%06d", i), spec: s, run: w.between(loop.Second, 20*loop.Second), broken: r.IntN(25) == 0}
+	w.jobs[j.id] = j
+	w.submit(j)
+	w.at(3*loop.Second, func() { w.poll(j) })
+	if j.broken || r.IntN(8) == 0 {
+		w.at(w.between(2*loop.Second, 30*loop.Second), func() { w.withdraw(j) })
+	}
+}
+
+// checkCancelled looks for tasks of jobs that were withdrawn too long ago.
+func (w *world) checkCancelled() {
+	for t, m := range w.active {
+		id, _, _ := agent.SplitTask(t)
+		if j := w.jobs[id]; j.withdrawn != 0 && w.now > j.withdrawn+loop.Seconds(w.cfg.Cluster.Workers.CancelS) {
+			w.fail("ran_cancelled: %s is still on %s", t, m)
+		}
+	}
+	w.at(loop.Second, w.checkCancelled)
+}
+
+// live lets the workers' own time pass between their reports.
+func (w *world) live() {
+	names := make([]string, 0, len(w.workers))
+	for name := range w.workers {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		if x := w.workers[name]; !x.gone && !x.hanging {
+			x.w.Tick(w.now)
+		}
+	}
+	w.at(250*loop.Millisecond, w.live)
+}
+
+func (w *world) run(until loop.Micros) {
+	for len(w.queue) > 0 && w.queue[0].at <= until {
+		e := heap.Pop(&w.queue).(event)
+		w.now = e.at
+		e.f()
+	}
+	w.now = until
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -130,6 +130,8 @@
 	// Refused is called on the loop when a peer's machine refuses the connection,
 	// which it does while no process listens there.
 	Refused func(label string)
+	// Deliver takes a frame on its way to a peer; tests put their own network here.
+	Deliver func(label string, frame []byte)
 	// Up is called on the loop when a connection to a peer was made.
 	Up func(label string)
 }
@@ -137,6 +139,7 @@
 // New makes the links; Run works them.
 func New(r loop.Runner, log *slog.Logger, self string, peers []config.Peer) *Net {
 	n := &Net{r: r, log: log, self: self, links: map[string]*link{}, known: map[string]*Known{}}
+	n.Deliver = n.enqueue
 	for _, p := range peers {
 		n.links[p.Label] = &link{peer: p, out: make(chan []byte, maxQueue)}
 		n.known[p.Label] = &Known{}
@@ -207,11 +210,12 @@
 			n.log.Error("malformed frame from a peer", "err", err)
 			return
 		}
-		n.r.Post(func() { n.received(e) })
+		n.r.Post(func() { n.Take(e) })
 	}
 }
 
-func (n *Net) received(e *Envelope) {
+// Take takes in a peer's frame, on the loop.
+func (n *Net) Take(e *Envelope) {
 	k := n.known[e.From]
 	if k == nil {
 		return
@@ -305,6 +309,12 @@
 	}
 	body := wire.Marshal(&l.next)
 	l.next = Envelope{}
+	n.Deliver(l.peer.Label, body)
+}
+
+// enqueue hands a frame to the connection, which may be stuck.
+func (n *Net) enqueue(label string, body []byte) {
+	l := n.links[label]
 	f := make([]byte, 4+len(body))
 	binary.BigEndian.PutUint32(f, uint32(len(body)))
 	copy(f[4:], body)
--- /dev/null
+++ b/internal/standin/cloud.go
@@ -0,0 +1,102 @@
+package standin
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"cleatpick/internal/store"
+	"cleatpick/internal/wire"
+)
+
+// Cloud rents machines out of a fixed number for each zone.
+type Cloud struct {
+	mu       sync.Mutex
+	Types    []wire.MachineType
+	Left     map[string]int // by zone
+	requests map[string][]string
+	machines map[string]wire.Listed
+	next     int
+	// Up and Gone tell the test to bring a machine up, or that it is deleted.
+	Up   func(wire.Listed)
+	Gone func(name string)
+}
+
+// NewCloud makes a cloud with so many machines of one type in each zone.
+func NewCloud(t wire.MachineType, each int) *Cloud {
+	c := &Cloud{Types: []wire.MachineType{t}, Left: map[string]int{}, requests: map[string][]string{}, machines: map[string]wire.Listed{}}
+	for _, z := range t.Zones {
+		c.Left[z] = each
+	}
+	return c
+}
+
+// Lose takes a machine back with no notice.
+func (c *Cloud) Lose(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.drop(name)
+}
+
+func (c *Cloud) drop(name string) {
+	m, ok := c.machines[name]
+	if !ok {
+		return
+	}
+	delete(c.machines, name)
+	c.Left[m.Zone]++
+	c.Gone(name)
+}
+
+// Do answers one request.
+func (c *Cloud) Do(method, path string, body []byte, _ time.Duration) store.Response {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case method == "GET" && path == "/catalog":
+		return reply(200, wire.Catalog{Types: c.Types})
+	case method == "GET" && strings.HasPrefix(path, "/machines"):
+		l := wire.Listing{Machines: []wire.Listed{}}
+		for _, m := range c.machines {
+			l.Machines = append(l.Machines, m)
+		}
+		sort.Slice(l.Machines, func(i, j int) bool { return l.Machines[i].Name < l.Machines[j].Name })
+		return reply(200, l)
+	case path == "/machines/delete":
+		var n wire.Names
+		if wire.Unmarshal(body, &n) != nil {
+			return reply(400, wire.Error{Error: "malformed"})
+		}
+		for _, name := range n.Machines {
+			c.drop(name)
+		}
+		return reply(200, wire.Names{Machines: []string{}})
+	case path == "/machines":
+		var r wire.Rent
+		if wire.Unmarshal(body, &r) != nil || r.Count < 1 {
+			return reply(400, wire.Error{Error: "malformed"})
+		}
+		if got, ok := c.requests[r.Request]; ok {
+			return reply(200, wire.Names{Machines: got})
+		}
+		n := min(r.Count, c.Left[r.Zone])
+		if n <= 0 {
+			return reply(503, wire.Error{Error: "no capacity"})
+		}
+		var got []string
+		for range n {
+			c.next++
+			m := wire.Listed{Name: fmt.Sprintf("n-%06d", c.next), Type: r.Type, Zone: r.Zone, Spot: r.Spot, State: "running"}
+			m.Addr = "worker:" + m.Name
+			c.machines[m.Name] = m
+			c.Left[r.Zone]--
+			got = append(got, m.Name)
+			c.Up(m)
+		}
+		c.requests[r.Request] = got
+		return reply(200, wire.Names{Machines: got})
+	}
+	return reply(400, wire.Error{Error: "unknown request"})
+}
--- /dev/null
+++ b/internal/standin/state.go
@@ -0,0 +1,237 @@
+// Package standin holds plain stand-ins for the state service, the cloud and the
+// workers, written to the protocol, for tests.
+package standin
+
+import (
+	"net/url"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"cleatpick/internal/loop"
+	"cleatpick/internal/store"
+	"cleatpick/internal/wire"
+)
+
+type stateKey struct {
+	value wire.Raw
+	mark  uint64
+	lease uint64
+}
+
+type stateLease struct {
+	ttl, until loop.Micros
+}
+
+// State is the state service, held in memory.
+type State struct {
+	mu     sync.Mutex
+	now    func() loop.Micros
+	tally  uint64
+	keys   map[string]stateKey
+	leases map[uint64]*stateLease
+	events []wire.Event
+	last   uint64
+	down   bool
+}
+
+// NewState makes an empty state service on a clock.
+func NewState(now func() loop.Micros) *State {
+	return &State{now: now, keys: map[string]stateKey{}, leases: map[uint64]*stateLease{}}
+}
+
+// SetDown begins or ends an outage; after it every lease has its full time again.
+func (s *State) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down && !down {
+		for _, l := range s.leases {
+			l.until = s.now() + l.ttl
+		}
+	}
+	s.down = down
+}
+
+// Value reads a key past the protocol, for a referee.
+func (s *State) Value(key string) (wire.Raw, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	k, ok := s.keys[key]
+	return k.value, ok
+}
+
+// Put writes a key past the protocol, as damage would.
+func (s *State) Put(key string, value any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tally++
+	s.put(key, wire.Marshal(value), 0)
+}
+
+func (s *State) put(key string, v wire.Raw, lease uint64) {
+	s.keys[key] = stateKey{v, s.tally, lease}
+	s.events = append(s.events, wire.Event{Put: key, Value: v, Mark: s.tally})
+}
+
+func (s *State) remove(key string) {
+	if _, ok := s.keys[key]; ok {
+		delete(s.keys, key)
+		s.events = append(s.events, wire.Event{Delete: key, Mark: s.tally})
+	}
+}
+
+func (s *State) expire() {
+	if s.down {
+		return
+	}
+	for id, l := range s.leases {
+		if s.now() >= l.until {
+			s.end(id)
+		}
+	}
+}
+
+func (s *State) end(id uint64) {
+	delete(s.leases, id)
+	s.tally++
+	var keys []string
+	for k, v := range s.keys {
+		if v.lease == id {
+			keys = append(keys, k)
+		}
+	}
+	sort.Strings(keys)
+	for _, k := range keys {
+		s.remove(k)
+	}
+}
+
+// Do answers one request.
+func (s *State) Do(method, path string, body []byte, timeout time.Duration) store.Response {
+	return s.do(method, path, body)
+}
+
+func reply(status int, v any) store.Response {
+	return store.Response{Status: status, Body: wire.Marshal(v)}
+}
+
+type rawChange struct {
+	Put    string   `cbor:"put"`
+	Value  wire.Raw `cbor:"data"`
+	Lease  uint64   `cbor:"hold"`
+	Delete string   `cbor:"remove"`
+}
+
+type rawTxn struct {
+	If   []wire.Cond `cbor:"when"`
+	Then []rawChange `cbor:"apply"`
+}
+
+func (s *State) do(method, path string, body []byte) store.Response {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return reply(503, wire.Error{Error: "outage"})
+	}
+	s.expire()
+	u, err := url.Parse(path)
+	if err != nil {
+		return reply(400, wire.Error{Error: "path"})
+	}
+	q := u.Query()
+	switch {
+	case method == "GET" && strings.HasPrefix(u.Path, "/store/"):
+		key := strings.TrimPrefix(u.Path, "/store/")
+		k, ok := s.keys[key]
+		if !ok {
+			return reply(404, map[string]uint64{"tally": s.tally})
+		}
+		return reply(200, wire.Item{Key: key, Value: k.value, Mark: k.mark})
+	case method == "GET" && u.Path == "/store":
+		var keys []string
+		for k := range s.keys {
+			if strings.HasPrefix(k, q.Get("under")) && k > q.Get("since") {
+				keys = append(keys, k)
+			}
+		}
+		sort.Strings(keys)
+		limit, _ := strconv.Atoi(q.Get("limit"))
+		r := wire.Range{Items: []wire.Item{}, Tally: s.tally}
+		for _, k := range keys {
+			if len(r.Items) == limit {
+				r.More = true
+				break
+			}
+			r.Items = append(r.Items, wire.Item{Key: k, Value: s.keys[k].value, Mark: s.keys[k].mark})
+		}
+		return reply(200, r)
+	case method == "GET" && u.Path == "/changes":
+		since, _ := strconv.ParseUint(q.Get("since"), 10, 64)
+		ev := wire.Events{Tally: s.tally, Events: []wire.Event{}}
+		for _, e := range s.events {
+			if e.Mark > since && strings.HasPrefix(e.Put+e.Delete, q.Get("under")) {
+				ev.Events = append(ev.Events, e)
+			}
+		}
+		return reply(200, ev)
+	case method == "POST" && u.Path == "/multi":
+		return s.multi(body)
+	case method == "POST" && u.Path == "/holds":
+		var l wire.Lease
+		if wire.Unmarshal(body, &l) != nil || l.TTLms < 100 {
+			return reply(400, wire.Error{Error: "ttl"})
+		}
+		s.last++
+		ttl := l.TTLms * loop.Millisecond
+		s.leases[s.last] = &stateLease{ttl, s.now() + ttl}
+		return reply(200, wire.Lease{ID: s.last})
+	case strings.HasPrefix(u.Path, "/holds/"):
+		rest := strings.TrimSuffix(strings.TrimPrefix(u.Path, "/holds/"), "/extend")
+		id, _ := strconv.ParseUint(rest, 10, 64)
+		l := s.leases[id]
+		if l == nil {
+			return reply(404, wire.Error{Error: "no such lease"})
+		}
+		if method == "DELETE" {
+			s.end(id)
+		} else {
+			l.until = s.now() + l.ttl
+		}
+		return reply(200, wire.Lease{ID: id})
+	}
+	return reply(400, wire.Error{Error: "unknown request"})
+}
+
+func (s *State) multi(body []byte) store.Response {
+	var t rawTxn
+	if wire.Unmarshal(body, &t) != nil {
+		return reply(400, wire.Error{Error: "malformed"})
+	}
+	for _, c := range t.Then {
+		if c.Put != "" && c.Lease != 0 && s.leases[c.Lease] == nil {
+			return reply(400, wire.TxnResult{Error: "no such lease"})
+		}
+	}
+	failed := []string{}
+	for _, c := range t.If {
+		if s.keys[c.Key].mark != c.Mark {
+			failed = append(failed, c.Key)
+		}
+	}
+	if len(failed) > 0 {
+		return reply(409, wire.TxnResult{Failed: failed, Tally: s.tally})
+	}
+	if len(t.Then) > 0 {
+		s.tally++
+	}
+	for _, c := range t.Then {
+		if c.Put != "" {
+			s.put(c.Put, c.Value, c.Lease)
+		} else {
+			s.remove(c.Delete)
+		}
+	}
+	return reply(200, wire.TxnResult{Tally: s.tally})
+}
--- /dev/null
+++ b/internal/standin/worker.go
@@ -0,0 +1,188 @@
+package standin
+
+import (
+	"cleatpick/internal/loop"
+	"cleatpick/internal/wire"
+)
+
+// Job is what a worker fetches of a job's description by itself.
+type Job struct {
+	CPUs, MemoryGB float64
+	Run            loop.Micros
+	Tasks          int
+	Broken         bool // fails on every machine
+}
+
+type workerTask struct {
+	task    string
+	attempt uint64
+	state   string
+	why     string
+	until   loop.Micros // when the present state ends
+}
+
+// Worker is one machine.
+type Worker struct {
+	Name, Addr, Type, Zone string
+	Spot                   bool
+	CPUs, MemoryGB         float64
+	Faulty                 bool // fails every task
+	Job                    func(id string) (Job, bool)
+	// Began and Left tell a referee when a task is on the machine and when it is off.
+	Began, Left func(task string, why string)
+
+	session, seq, token uint64
+	tasks               []*workerTask
+	held                loop.Micros // when the last answered report was sent
+	lease               loop.Micros
+}
+
+// NewWorker brings a machine up.
+func NewWorker(now, lease loop.Micros) *Worker {
+	return &Worker{session: 1, held: now, lease: lease}
+}
+
+func (w *Worker) end(t *workerTask, why string) {
+	if t.state == wire.TaskExited {
+		return
+	}
+	t.state, t.why = wire.TaskExited, why
+	w.Left(t.task, why)
+}
+
+// Tick lets time pass on the machine.
+func (w *Worker) Tick(now loop.Micros) {
+	if now-w.held > w.lease {
+		for _, t := range w.tasks {
+			w.end(t, "lease")
+		}
+		w.tasks, w.held = nil, now
+		w.session++
+		w.seq = 0
+	}
+	for _, t := range w.tasks {
+		if t.state == wire.TaskExited || now < t.until {
+			continue
+		}
+		if t.state == wire.TaskFetching {
+			j, _ := w.Job(jobOf(t.task))
+			t.state, t.until = wire.TaskRunning, now+j.Run
+			if w.Faulty || j.Broken {
+				w.end(t, wire.WhyError)
+			}
+			continue
+		}
+		w.end(t, wire.WhyDone)
+	}
+}
+
+func jobOf(task string) string {
+	for i := len(task) - 1; i >= 0; i-- {
+		if task[i] == '/' {
+			return task[:i]
+		}
+	}
+	return task
+}
+
+// Destroy ends the machine with everything on it.
+func (w *Worker) Destroy() {
+	for _, t := range w.tasks {
+		w.end(t, "gone")
+	}
+	w.tasks = nil
+}
+
+// Report describes the machine now.
+func (w *Worker) Report() wire.Report {
+	w.seq++
+	r := wire.Report{Machine: w.Name, Addr: w.Addr, Type: w.Type, Zone: w.Zone, Spot: w.Spot,
+		Session: w.session, Seq: w.seq, Token: w.token, Tasks: []wire.ReportTask{}}
+	for _, t := range w.tasks {
+		r.Tasks = append(r.Tasks, wire.ReportTask{Task: t.task, Attempt: t.attempt, State: t.state, Why: t.why})
+	}
+	return r
+}
+
+// Answered takes in the 200 to a report that was sent at a time, in a session.
+func (w *Worker) Answered(now, sent loop.Micros, session uint64, c wire.Commands) {
+	if session != w.session || c.Token < w.token || now-sent > 4*loop.Second {
+		return
+	}
+	w.token, w.held = c.Token, sent
+	w.run(now, c.Commands)
+}
+
+// Command takes in a direct command and answers with its status and the report.
+func (w *Worker) Command(now loop.Micros, c wire.Commands) (int, wire.Report) {
+	if c.Token < w.token || c.Session != w.session {
+		return 409, w.Report()
+	}
+	w.token = c.Token
+	w.run(now, c.Commands)
+	return 200, w.Report()
+}
+
+func (w *Worker) find(task string, attempt uint64) *workerTask {
+	for _, t := range w.tasks {
+		if t.task == task && t.attempt == attempt {
+			return t
+		}
+	}
+	return nil
+}
+
+func (w *Worker) run(now loop.Micros, cs []wire.Command) {
+	for _, c := range cs {
+		t := w.find(c.Task, c.Attempt)
+		switch c.Op {
+		case wire.OpStart:
+			if t == nil {
+				w.start(now, c)
+			}
+		case wire.OpStop:
+			if t != nil {
+				w.end(t, wire.WhyStopped)
+			}
+		case wire.OpForget:
+			if t != nil && t.state == wire.TaskExited {
+				for i := range w.tasks {
+					if w.tasks[i] == t {
+						w.tasks = append(w.tasks[:i], w.tasks[i+1:]...)
+						break
+					}
+				}
+			}
+		}
+	}
+}
+
+func (w *Worker) start(now loop.Micros, c wire.Command) {
+	t := &workerTask{task: c.Task, attempt: c.Attempt, state: wire.TaskExited}
+	w.tasks = append(w.tasks, t)
+	j, ok := w.Job(jobOf(c.Task))
+	if !ok {
+		t.why = wire.WhyUnknown
+		return
+	}
+	cpus, mem := w.CPUs-j.CPUs, w.MemoryGB-j.MemoryGB
+	for _, x := range w.tasks {
+		if x == t || x.state == wire.TaskExited {
+			continue
+		}
+		if x.task == t.task {
+			t.why = wire.WhyBusy
+			return
+		}
+		if o, ok := w.Job(jobOf(x.task)); ok {
+			cpus -= o.CPUs
+			mem -= o.MemoryGB
+		}
+	}
+	if cpus < -1e-6 || mem < -1e-6 {
+		t.why = wire.WhyNoRoom
+		return
+	}
+	t.state, t.until = wire.TaskFetching, now+loop.Second
+	w.Began(t.task, "")
+}
