--- /dev/null
+++ b/internal/agent/agent_test.go
@@ -0,0 +1,162 @@
+package agent
+
+import (
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"cleatpick/internal/job"
+	"cleatpick/internal/loop"
+	"cleatpick/internal/store"
+	"cleatpick/internal/wire"
+)
+
+// hand is time moved by hand; blocking work runs when the test says so.
+type hand struct {
+	now  loop.Micros
+	work []func()
+}
+
+func (h *hand) Now() loop.Micros              { return h.now }
+func (h *hand) Wall() loop.Micros             { return h.now }
+func (h *hand) Post(f func())                 { f() }
+func (h *hand) After(d loop.Micros, f func()) { h.work = append(h.work, f) }
+func (h *hand) Go(f func())                   { f() }
+
+type rig struct {
+	*hand
+	a     *Agent
+	epoch uint64
+	sent  []wire.Commands
+	resp  store.Response
+	drops []Drop
+}
+
+func newRig() *rig {
+	g := &rig{hand: &hand{now: 1000 * loop.Second}, epoch: 5}
+	spec := &job.Spec{Team: "t", Tasks: 9, CPUs: 2, MemoryGB: 1, AnyType: true}
+	j := &job.Job{ID: "job-1", Phase: job.Accepted, Spec: spec, Tasks: 9}
+	g.a = New(g, slog.New(slog.NewTextHandler(io.Discard, nil)), Host{
+		Label: "a", MayAnswer: func() (bool, string) { return true, "" }, MayStart: func() bool { return true },
+		Isolated: func() bool { return false }, Epoch: func() uint64 { return g.epoch },
+		Raise: func(done func()) { g.epoch += 2; done() },
+		Type:  func(string) (wire.MachineType, bool) { return wire.MachineType{Name: "m", CPUs: 4, MemoryGB: 8}, true },
+		Job: func(id string) *job.Job {
+			if id == j.ID {
+				return j
+			}
+			return nil
+		},
+		Publish: func([]*View) {}, Changed: func(*View) {}, Drop: func(_ string, d Drop) { g.drops = append(g.drops, d) },
+	}, func(_ string, c wire.Commands, _ time.Duration) store.Response {
+		g.sent = append(g.sent, c)
+		return g.resp
+	})
+	g.work = nil
+	return g
+}
+
+func (g *rig) beat(t *testing.T, seq, token uint64, tasks ...wire.ReportTask) wire.Commands {
+	t.Helper()
+	var c wire.Commands
+	g.a.Beat(wire.Report{Machine: "n-1", Addr: "x:1", Type: "m", Zone: "z", Session: 1, Seq: seq, Token: token, Tasks: tasks}, func(a Answer) {
+		if a.Status != 200 {
+			t.Fatalf("report %d is answered %d", seq, a.Status)
+		}
+		c = a.Body.(wire.Commands)
+	})
+	return c
+}
+
+func (g *rig) runWork() {
+	w := g.work
+	g.work = nil
+	for _, f := range w {
+		f()
+	}
+}
+
+// A report can be held back for minutes. Its list must not count as made when it came.
+func TestLateReportIsNoFreshList(t *testing.T) {
+	g := newRig()
+	token := g.beat(t, 1, 0).Token
+	given := g.now
+	g.now += 3 * loop.Second
+	g.beat(t, 2, token)
+	g.now += 60 * loop.Second
+	g.beat(t, 3, token) // may have been under way all the time
+	if at := g.a.View("n-1").At; at != given {
+		t.Fatalf("the list counts as made at %d, the token was given out at %d", at, given)
+	}
+	g.resp = store.Response{Status: 200, Body: wire.Marshal(wire.Report{Machine: "n-1", Type: "m", Zone: "z", Session: 1, Seq: 4, Token: token})}
+	asked := g.now
+	g.a.Check("n-1")
+	g.runWork()
+	if at := g.a.View("n-1").At; at != asked {
+		t.Fatalf("a list that was asked for counts as made at %d, not at %d", at, asked)
+	}
+}
+
+// A worker that has seen a higher token gets a newer epoch's, and nothing counts as
+// settled before it shows that.
+func TestHigherTokenTakesNewEpoch(t *testing.T) {
+	g := newRig()
+	c := g.beat(t, 1, 9<<counterBits)
+	if c.Token <= 9<<counterBits {
+		// The first raise gave 7: still too low, so it must have gone on.
+		t.Fatalf("token %d does not outrank the worker's", c.Token)
+	}
+	if g.a.View("n-1").Settled {
+		t.Fatal("settled before the worker showed the token")
+	}
+	g.beat(t, 2, c.Token)
+	if !g.a.View("n-1").Settled {
+		t.Fatal("not settled although the worker shows the token")
+	}
+}
+
+// After a direct command of unknown outcome the start may land at any time: it stays
+// listed, and no list settles anything, until the worker shows a higher token.
+func TestUnansweredDirectCommand(t *testing.T) {
+	g := newRig()
+	token := g.beat(t, 1, 0).Token
+	g.beat(t, 2, token)
+	g.resp = store.Response{Err: io.ErrUnexpectedEOF}
+	g.a.Start(Start{Machine: "n-1", Session: 1, Task: "job-1/0", Attempt: 1, Expiry: g.now + 6*loop.Second, From: "a"})
+	g.runWork()
+	if len(g.sent) != 1 || len(g.sent[0].Commands) != 1 {
+		t.Fatalf("the start did not go out directly: %v", g.sent)
+	}
+	g.now += 30 * loop.Second // long expired
+	c := g.beat(t, 3, token)
+	if v := g.a.View("n-1"); v.Settled || !v.Holds("job-1/0", 1) {
+		t.Fatalf("settled %v, still listed %v", v.Settled, v.Holds("job-1/0", 1))
+	}
+	if c.Token != token+1 {
+		t.Fatalf("token %d was not raised above %d", c.Token, token)
+	}
+	g.beat(t, 4, c.Token)
+	if v := g.a.View("n-1"); !v.Settled || v.Holds("job-1/0", 1) {
+		t.Fatalf("settled %v, still listed %v after the higher token was shown", v.Settled, v.Holds("job-1/0", 1))
+	}
+}
+
+// What does not fit, is too old or meant another session is dropped, and said so.
+func TestStartsThatAreDropped(t *testing.T) {
+	g := newRig()
+	token := g.beat(t, 1, 0).Token
+	g.beat(t, 2, token, wire.ReportTask{Task: "job-1/8", Attempt: 1, State: wire.TaskRunning})
+	life := g.now + 6*loop.Second
+	g.a.Start(Start{Machine: "n-1", Session: 1, Task: "job-1/0", Attempt: 1, Expiry: life, From: "a"}) // fits
+	g.a.Start(Start{Machine: "n-1", Session: 1, Task: "job-1/1", Attempt: 1, Expiry: life, From: "a"}) // full
+	g.a.Start(Start{Machine: "n-1", Session: 2, Task: "job-1/2", Attempt: 1, Expiry: life, From: "a"})
+	g.a.Start(Start{Machine: "n-1", Session: 1, Task: "job-1/3", Attempt: 1, Expiry: g.now - 1, From: "a"})
+	if len(g.drops) != 3 || g.drops[0].Task != "job-1/1" {
+		t.Fatalf("dropped: %v", g.drops)
+	}
+	g.a.Start(Start{Machine: "n-1", Session: 1, Task: "job-1/1", Attempt: 1, Expiry: life, From: "a"})
+	if len(g.drops) != 4 || g.a.View("n-1").Holds("job-1/1", 1) {
+		t.Fatal("a dropped start was taken on later")
+	}
+}
