A leader without a lease judges and deletes nothing; a lost machine is judged sooner

Cause: cut with packets held, the old leader saw all 48 machines silent and asked for their deletion, which would have been carried out late; the new one waited 18 s for lost machines since a peer was not heard.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -182,16 +182,18 @@
 			}
 			n.net.To(host, func(e *peer.Envelope) { e.Closes = append(e.Closes, c) })
 		},
-		PeersUp: func() bool {
-			for _, label := range n.net.Peers() {
-				if l.Now()-n.net.Known(label).Heard > 3*loop.Second {
-					return false
+		Unheard: func(zone string) bool {
+			for _, p := range cfg.Known {
+				if p.Site == zone && l.Now()-n.net.Known(p.Label).Heard > 3*loop.Second {
+					return true
 				}
 			}
-			return true
+			return false
 		},
-		Faulty: n.placer.Faulty,
-		Probe:  n.probe,
+		Entitled: n.member.Entitled,
+		Isolated: n.isolated,
+		Faulty:   n.placer.Faulty,
+		Probe:    n.probe,
 	})
 	n.rental.OnGone = n.placer.Gone
 	n.book.OnJob = func(j *job.Job) {
--- a/internal/rental/rental.go
+++ b/internal/rental/rental.go
@@ -113,8 +113,13 @@
 	Epoch func() uint64
 	// Close asks a machine's host to keep starts off it.
 	Close func(host string, c peer.Close)
-	// PeersUp tells whether every peer was heard lately.
-	PeersUp func() bool
+	// Unheard tells whether a peer in this zone was not heard lately: it may go on
+	// answering workers that nobody else can see.
+	Unheard func(zone string) bool
+	// Entitled tells whether this node's lease certainly holds, and Isolated whether
+	// it hears no peer at all.
+	Entitled func() bool
+	Isolated func() bool
 	// Faulty tells whether a machine fails tasks of several jobs.
 	Faulty func(machine string) bool
 	// Probe asks a worker for its report; it blocks, and runs off the loop.
@@ -321,7 +326,10 @@
 func (t *Rental) Asked() bool { return len(t.types) > 0 }
 
 func (t *Rental) tick() {
-	if !t.leads {
+	if !t.leads || !t.n.Entitled() {
+		// A leader that cannot renew its lease has been replaced, or soon will be:
+		// to it the whole fleet looks silent, and a deletion held on its way would
+		// be carried out long after.
 		return
 	}
 	t.judge()
@@ -479,9 +487,9 @@
 			}
 		case Up:
 			silent := now - m.heard
-			limit := lease + 8*loop.Second
-			if t.n.PeersUp() {
-				limit = 2*report + 6*loop.Second
+			limit := 2*report + 6*loop.Second
+			if t.n.Unheard(m.zone) {
+				limit = lease + 8*loop.Second
 			}
 			if s := loop.Seconds(t.cfg.Operator.SilentDeleteS); s > 0 {
 				limit = s
@@ -490,7 +498,7 @@
 			switch {
 			case m.listed == "failed":
 				t.setState(m, Deleting, "failed")
-			case silent > limit && now-t.started > limit:
+			case silent > limit && now-t.started > limit && !t.n.Isolated():
 				if m.probes >= 2 || v == nil {
 					t.setState(m, Deleting, "silent")
 				} else {
@@ -514,7 +522,7 @@
 			}
 			if v.Closed && empty(v) && now-m.heard < 2*report+2*loop.Second {
 				t.setState(m, Deleting, m.why)
-			} else if now-m.heard > lease+8*loop.Second {
+			} else if now-m.heard > lease+8*loop.Second && !t.n.Isolated() {
 				t.setState(m, Deleting, "silent")
 			}
 		}
@@ -552,6 +560,18 @@
 		return false
 	}
 	sort.Strings(names)
+	// Only who leads now may delete; the cloud cannot tell.
+	t.calling = true
+	t.c.Txn(store.Placements, wire.Txn{If: []wire.Cond{member.LeaderCond(t.claim)}}, func(r store.Result) {
+		t.calling = false
+		if r.Outcome == store.Applied && t.leads {
+			t.delete(names)
+		}
+	})
+	return true
+}
+
+func (t *Rental) delete(names []string) {
 	t.call("POST", "/machines/delete", wire.Names{Machines: names}, 4*loop.Second, func(resp store.Response) {
 		if resp.Err != nil || resp.Status != 200 {
 			return // asked again: deleting what is gone does no harm
@@ -565,7 +585,6 @@
 		}
 		t.record(ch, 0)
 	})
-	return true
 }
 
 func (t *Rental) record(ch wire.Change, tries int) {
