--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,84 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const sound = `
+label = "s-0"
+site = "x"
+client_listen = "10.0.0.1:8080"
+peer_listen = "10.0.0.1:8081"
+unknown = 4
+[[known]]
+label = "s-1"
+site = "y"
+endpoint = "10.0.0.2:8081"
+[outside]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[cluster]
+nodes = 2
+zones = ["x", "y"]
+clock_off_ms = 100.0
+[[cluster.teams]]
+name = "red"
+cpus = 8.0
+cpus_max = 16.0
+[cluster.workers]
+report_s = 3.0
+lease_s = 19.0
+cancel_s = 39.0
+[cluster.state]
+rps = 100.0
+write_rps = 40.0
+value_kb = 32.0
+txn_ops = 16
+[cluster.cloud]
+rps = 2.0
+list_lag_s = 3.0
+[cluster.limits]
+cores = 0.24
+ram_mb = 179.0
+max_sockets = 1800
+`
+
+func write(t *testing.T, text string) string {
+	t.Helper()
+	f := filepath.Join(t.TempDir(), "settings.toml")
+	if err := os.WriteFile(f, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+func TestLoad(t *testing.T) {
+	c, err := Load(write(t, sound), write(t, "standby_mean_s = 120.0\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Label != "s-0" || c.Operator.StandbyMeanS != 120 || c.Operator.NodeLeaseS != Defaults().NodeLeaseS {
+		t.Fatalf("got %+v", c)
+	}
+	for _, x := range []struct{ old, new, names string }{
+		{`label = "s-0"`, ``, "label: is missing"},
+		{`label = "s-1"`, `label = "s-0"`, "known[0].label: names a node twice"},
+		{`cancel_s = 39.0`, `cancel_s = 9.0`, "cluster.workers.cancel_s"},
+		{`rps = 2.0`, `rps = -2.0`, "cluster.cloud.rps"},
+		{`rps = 2.0`, `rps = "two"`, "rps"},
+		{`state = "10.2.0.1:2379"`, `state = "10.2.0.1"`, "outside.state: is no address"},
+		{`cpus = 8.0`, `cpus = nan`, "cluster.teams[0].cpus"},
+		{`[outside]`, `[outside`, "settings.toml"},
+	} {
+		_, err := Load(write(t, strings.Replace(sound, x.old, x.new, 1)), "")
+		if err == nil || !strings.Contains(err.Error(), x.names) {
+			t.Errorf("%q for %q gives %v, want it to name %q", x.new, x.old, err, x.names)
+		}
+	}
+	if _, err := Load(write(t, sound), write(t, "node_lease_s = 0.1\n")); err == nil || !strings.Contains(err.Error(), "node_lease_s") {
+		t.Errorf("a lease of 0.1 s gives %v", err)
+	}
+}
--- /dev/null
+++ b/internal/job/job_test.go
@@ -0,0 +1,99 @@
+package job
+
+import (
+	"maps"
+	"math"
+	"testing"
+
+	"cleatpick/internal/config"
+	"cleatpick/internal/wire"
+)
+
+func good() map[string]any {
+	return map[string]any{"nameId": "job-000412", "lineup": "train", "squad": "red", "play": "batch", "urgency": "high", "snaps": 16,
+		"cpus": 8.0, "cards": 0.0, "ramGb": 64.0, "kit": "img-07", "sizeGb": 6.2, "builds": []string{"g8"}, "field": nil,
+		"oneZone": true, "scatter": false, "loaners": true, "expectS": 240.0, "timeoutS": 30.0, "huddleS": 4.0, "whistleS": 900.0, "later": 1}
+}
+
+func TestParse(t *testing.T) {
+	id, s, ok := Parse(wire.Marshal(good()))
+	if !ok || id != "job-000412" || s.Tasks != 16 || s.Priority != High || s.AnyType || s.Zone != "" || s.Deadline != 900e6 || s.Checkpoint != 30e6 {
+		t.Fatalf("got %q %+v %v", id, s, ok)
+	}
+	change := func(key string, v any) []byte {
+		m := maps.Clone(good())
+		if v == "absent" {
+			delete(m, key)
+		} else {
+			m[key] = v
+		}
+		return wire.Marshal(m)
+	}
+	for _, key := range []string{"builds", "field", "whistleS"} { // may be null, and so may be absent
+		for _, v := range []any{nil, "absent"} {
+			if _, _, ok := Parse(change(key, v)); !ok {
+				t.Errorf("%s = %v is refused", key, v)
+			}
+		}
+	}
+	bad := map[string][]any{
+		"nameId": {"absent", nil, "", "job-", "job-12x", "task-1", 7}, "lineup": {"absent", 3}, "squad": {"absent", ""},
+		"play": {"absent", "gig", 1}, "urgency": {"absent", "huge"}, "snaps": {"absent", 0, -1, 100001, 1.5, "many"},
+		"cpus": {"absent", -1.0, math.NaN(), math.Inf(1), "two"}, "cards": {"absent", -1.0}, "ramGb": {"absent", math.Inf(-1)},
+		"kit": {"absent", 4}, "sizeGb": {"absent", -0.5}, "builds": {"g8", []int{1}, []string{""}}, "field": {"", 3},
+		"oneZone": {"absent", "yes"}, "scatter": {"absent", 1}, "loaners": {"absent", nil},
+		"expectS": {"absent", -1.0}, "timeoutS": {"absent", -1.0}, "huddleS": {"absent", math.NaN()}, "whistleS": {-1.0, "soon"},
+	}
+	for key, vs := range bad {
+		for _, v := range vs {
+			if _, _, ok := Parse(change(key, v)); ok {
+				t.Errorf("%s = %v is taken", key, v)
+			}
+		}
+	}
+	for _, raw := range [][]byte{nil, {0x01}, {0x80}, {0xa1}, []byte("{}"), {0xff}} {
+		if _, _, ok := Parse(raw); ok {
+			t.Errorf("%x is taken", raw)
+		}
+	}
+}
+
+func TestRunnable(t *testing.T) {
+	c := &config.Config{}
+	c.Cluster.Teams = []config.Team{{Name: "red", CPUs: 8, CPUsMax: 32}}
+	types := []wire.MachineType{{Name: "g8", CPUs: 16, MemoryGB: 64, Zones: []string{"x"}}}
+	base := Spec{Team: "red", Tasks: 100, CPUs: 16, MemoryGB: 64, AnyType: true}
+	for i, x := range []struct {
+		change func(*Spec)
+		want   bool
+	}{
+		{func(*Spec) {}, true},
+		{func(s *Spec) { s.Team = "blue" }, false},
+		{func(s *Spec) { s.CPUs = 17 }, false},
+		{func(s *Spec) { s.MemoryGB = 65 }, false},
+		{func(s *Spec) { s.GPUs = 1 }, false},
+		{func(s *Spec) { s.Zone = "y" }, false},
+		{func(s *Spec) { s.Zone = "x" }, true},
+		{func(s *Spec) { s.AnyType, s.Types = false, []string{"h1"} }, false},
+		{func(s *Spec) { s.AnyType, s.Types = false, nil }, false},
+		{func(s *Spec) { s.Service, s.Tasks = true, 2 }, true},
+		{func(s *Spec) { s.Service, s.Tasks = true, 3 }, false},
+	} {
+		s := base
+		x.change(&s)
+		if got := Runnable(&s, c, types); got != x.want {
+			t.Errorf("case %d: %v, want %v", i, got, x.want)
+		}
+	}
+}
+
+// Whatever bytes come, reading them ends in a verdict.
+func FuzzParse(f *testing.F) {
+	f.Add(wire.Marshal(good()))
+	f.Add([]byte{0xa1, 0x61, 0x61, 0xf9, 0x7e, 0x00})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if id, s, ok := Parse(b); ok && (!ValidID(id) || s.Tasks < 1 || s.CPUs < 0 || math.IsNaN(s.CPUs)) {
+			t.Fatalf("%x is taken as %q %+v", b, id, s)
+		}
+	})
+}
--- /dev/null
+++ b/internal/store/store_test.go
@@ -0,0 +1,136 @@
+package store
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"testing"
+	"time"
+
+	"cleatpick/internal/loop"
+	"cleatpick/internal/wire"
+
+	"pgregory.net/rapid"
+)
+
+// The verdict must be the same every time, so the generator's seed is fixed.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		if err := f.Value.Set("20261201"); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+type still struct {
+	now   loop.Micros
+	after []func()
+}
+
+func (s *still) Now() loop.Micros              { return s.now }
+func (s *still) Wall() loop.Micros             { return s.now }
+func (s *still) Post(f func())                 { f() }
+func (s *still) After(_ loop.Micros, f func()) { s.after = append(s.after, f) }
+func (s *still) Go(f func())                   { f() }
+
+type counter struct{ sent map[string]int }
+
+func (c *counter) Do(method, path string, _ []byte, _ time.Duration) Response {
+	c.sent[path]++
+	return Response{Status: 200, Body: wire.Marshal(wire.TxnResult{Tally: 1})}
+}
+
+// Events, own writes and reads reach the mirror in any order and any number of
+// times; it must end where a plain list of all versions ends.
+func TestMirrorKeepsTheNewest(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := NewMirror(nil, nil, "c/")
+		seen := map[string]uint64{}
+		m.On("c/", func(key string, e Entry) {
+			if e.Mark != 0 && e.Mark <= seen[key] {
+				t.Fatalf("%s went back from %d to %d", key, seen[key], e.Mark)
+			}
+			seen[key] = max(seen[key], e.Mark)
+		})
+		type version struct {
+			key  string
+			gone bool
+		}
+		n := rapid.IntRange(1, 30).Draw(t, "versions")
+		all := make([]version, n+1)
+		for i := 1; i <= n; i++ {
+			all[i] = version{fmt.Sprintf("c/%d", rapid.IntRange(0, 3).Draw(t, "key")), rapid.Bool().Draw(t, "gone")}
+		}
+		model := map[string]int{}
+		for _, i := range rapid.SliceOfN(rapid.IntRange(1, n), 1, 60).Draw(t, "arrivals") {
+			v := all[i]
+			m.Apply(v.key, wire.Marshal(i), uint64(i), v.gone)
+			model[v.key] = max(model[v.key], i)
+		}
+		for key, i := range model {
+			e, ok := m.Get(key)
+			if ok == all[i].gone || (ok && e.Mark != uint64(i)) {
+				t.Fatalf("%s is %v at %d, want version %d (gone %v)", key, ok, e.Mark, i, all[i].gone)
+			}
+		}
+	})
+}
+
+// Leases go first and are never paced; everything else keeps to this node's share.
+func TestPacingLetsLeasesThrough(t *testing.T) {
+	r := &still{now: loop.Second}
+	c := &counter{sent: map[string]int{}}
+	cl := NewClient(r, c, slog.New(slog.NewTextHandler(io.Discard, nil)), 30, 30, 3)
+	for range 100 {
+		cl.Send(Results, 1, "POST", "/multi", wire.Txn{}, loop.Second, func(Response) {})
+	}
+	burst := c.sent["/multi"]
+	if burst == 0 || burst > 10 {
+		t.Fatalf("%d of 100 went out at once with a share of 9 a second", burst)
+	}
+	for range 5 {
+		cl.Extend(7, func(bool, bool) {})
+	}
+	if c.sent["/holds/7/extend"] != 5 {
+		t.Fatalf("%d of 5 renewals went out", c.sent["/holds/7/extend"])
+	}
+	for range 20 { // two seconds in steps
+		r.now += 100 * loop.Millisecond
+		due := r.after
+		r.after = nil
+		for _, f := range due {
+			f()
+		}
+	}
+	if n := c.sent["/multi"] - burst; n < 8 || n > 20 {
+		t.Fatalf("%d more went out in two seconds", n)
+	}
+}
+
+// The outcome of a transaction decides what may be believed; only a clear answer is one.
+func TestOutcomes(t *testing.T) {
+	cl := NewClient(&still{}, nil, slog.New(slog.NewTextHandler(io.Discard, nil)), 1, 1, 1)
+	body := func(r wire.TxnResult) []byte { return wire.Marshal(r) }
+	for _, c := range []struct {
+		resp Response
+		want Outcome
+	}{
+		{Response{Status: 200, Body: body(wire.TxnResult{Tally: 4})}, Applied},
+		{Response{Status: 409, Body: body(wire.TxnResult{Failed: []string{"a"}})}, Conflict},
+		{Response{Status: 503}, Refused},
+		{Response{Status: 429}, Refused},
+		{Response{Err: io.EOF}, Unknown},
+		{Response{Status: 500}, Unknown},
+		{Response{Status: 200, Body: []byte{0xff}}, Unknown},
+		{Response{Status: 400, Body: body(wire.TxnResult{Error: "no such lease"})}, NoLease},
+		{Response{Status: 400, Body: body(wire.TxnResult{Error: "malformed"})}, Invalid},
+	} {
+		if got := cl.outcome(c.resp); got.Outcome != c.want {
+			t.Errorf("%+v is %d, want %d", c.resp, got.Outcome, c.want)
+		}
+	}
+}
