--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -6,7 +6,6 @@
 	"sort"
 
 	"cleatpick/internal/agent"
-	"cleatpick/internal/config"
 	"cleatpick/internal/job"
 	"cleatpick/internal/loop"
 	"cleatpick/internal/peer"
@@ -140,7 +139,7 @@
 				if within == nil {
 					within = p.guaranteed(tm)
 				}
-				q = append(q, entryOf{t, within[t], p.turn(t)})
+				q = append(q, entryOf{t, within[t], t.turn()})
 			}
 		}
 	}
@@ -156,51 +155,12 @@
 	return q
 }
 
-// target is a time limit that the users state for a class of jobs.
-type target struct {
-	within   loop.Micros
-	finished bool // counts to the end of the job, not to its start
-}
-
-// targetsOf reads the users' time limits out of the settings.
-func targetsOf(c *config.Config) map[string][]target {
-	out := map[string][]target{}
-	for _, o := range c.Cluster.Objectives {
-		if o.WithinS > 0 && (o.Kind == "finished" || o.Kind == "wait") {
-			out[o.Class] = append(out[o.Class], target{loop.Seconds(o.WithinS), o.Kind == "finished"})
-		}
-	}
-	return out
-}
-
-// turn orders jobs of one rank by the latest start that still keeps a limit of
-// theirs. What can keep none goes last; and a small job may overtake a large one by
-// the time that the larger work takes its team.
-func (p *Placer) turn(t *table) loop.Micros {
-	s, now := t.j.Spec, p.r.Wall()
-	run := s.Estimate * 6 / 5
-	latest := loop.Micros(0)
-	consider := func(at loop.Micros) {
-		if at >= now && (latest == 0 || at < latest) {
-			latest = at
-		}
-	}
-	for _, x := range p.targets[s.Class] {
-		at := t.j.At + x.within
-		if x.finished {
-			at -= run
-		}
-		consider(at)
-	}
-	if s.Deadline > 0 {
-		consider(t.j.At + s.Deadline - run)
-		consider(t.j.At + s.Deadline*3/2 - run)
-	}
-	if latest == 0 {
-		latest = t.j.At + 600*loop.Second
-	}
+// turn orders jobs of one rank: first come, first served, but a small job may
+// overtake a large one by the time that the larger work takes its team.
+func (t *table) turn() loop.Micros {
+	s := t.j.Spec
 	work := float64(t.j.Tasks-t.completed) * float64(s.Estimate) * s.CPUs
-	return latest + loop.Micros(2*work/max(t.team.cfg.CPUs, 1))
+	return t.j.At + loop.Micros(2*work/max(t.team.cfg.CPUs, 1))
 }
 
 // place gives waiting tasks to machines with free room; those that find none are misses.
