--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -71,12 +71,13 @@
 	MayAnswer func() (ok bool, coach string)
 	// MayStart tells whether new starts may be passed on.
 	MayStart func() bool
-	// Isolated tells whether no peer can be heard.
-	Isolated func() bool
-	Epoch    func() uint64
-	Raise    func(done func())
-	Type     func(name string) (wire.MachineType, bool)
-	Job      func(id string) *job.Job
+	// SendOn tells whether workers should report elsewhere, since what is heard here
+	// reaches no owner, and where, if that is known.
+	SendOn func() (on bool, to string)
+	Epoch  func() uint64
+	Raise  func(done func())
+	Type   func(name string) (wire.MachineType, bool)
+	Job    func(id string) *job.Job
 	// Publish hands changed views of hosted machines to the peers.
 	Publish func([]*View)
 	// Changed is called for every newer view, of any node.
@@ -139,11 +140,11 @@
 		reply(Answer{421, wire.ReportTo{Node: coach}})
 		return
 	}
-	if a.h.Isolated() && a.r.Now()-a.sentOn[r.Machine] > 10*loop.Second {
+	if on, to := a.h.SendOn(); on && a.r.Now()-a.sentOn[r.Machine] > 10*loop.Second {
 		// What is heard here does not reach the owners: the worker is sent on
 		// once, and answered should it find nobody else.
 		a.sentOn[r.Machine] = a.r.Now()
-		reply(Answer{421, wire.ReportTo{}})
+		reply(Answer{421, wire.ReportTo{Node: to}})
 		return
 	}
 	if a.gone[r.Machine] {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -40,6 +40,7 @@
 type nodeRecord struct {
 	Epoch uint64 `cbor:"e"`
 	Lease uint64 `cbor:"l"`
+	Alone bool   `cbor:"a,omitempty"` // it hears no peer
 }
 
 type ownerRecord struct {
@@ -84,6 +85,8 @@
 	mine     map[string]Owner
 	nodes    map[string]nodeRecord
 	handed   loop.Micros // when owned keys were last handed over
+	alone    bool        // what the others were told of this node's isolation
+	telling  bool
 	evicted  map[string]loop.Micros
 }
 
@@ -158,7 +161,7 @@
 		}
 		b.inst = epoch
 		b.c.Txn(store.Leases, wire.Txn{Then: []wire.Change{{Put: nodeKeys + b.label,
-			Value: nodeRecord{epoch, lease}, Lease: lease}}}, func(r store.Result) {
+			Value: nodeRecord{Epoch: epoch, Lease: lease}, Lease: lease}}}, func(r store.Result) {
 			if b.lease != lease {
 				return
 			}
@@ -170,7 +173,7 @@
 				again()
 				return
 			}
-			b.m.Apply(nodeKeys+b.label, wire.Marshal(nodeRecord{epoch, lease}), r.Tally, false)
+			b.m.Apply(nodeKeys+b.label, wire.Marshal(nodeRecord{Epoch: epoch, Lease: lease}), r.Tally, false)
 			b.setState(Active)
 			b.tick()
 		})
@@ -244,7 +247,7 @@
 // lost gives up everything: the lease has ended, and with it all that hung on it.
 func (b *Member) lost() {
 	b.log.Info("node lease ended", "lease", b.lease)
-	b.lease, b.until = 0, 0
+	b.lease, b.until, b.alone = 0, 0, false
 	for key := range b.mine {
 		b.drop(key)
 	}
@@ -313,7 +316,20 @@
 	}
 	now := b.r.Now()
 	isolated := b.Isolated != nil && len(b.nodes) > 1 && b.Isolated()
-	if isolated && len(b.mine) > 0 && (b.handed == 0 || now-b.handed > 30*loop.Second) {
+	if isolated != b.alone {
+		b.tell(isolated)
+	}
+	gather := isolated && b.AllAlone()
+	_, leads := b.mine[leaderKey]
+	if gather && !leads && len(b.mine) > 0 {
+		// The nodes cannot speak to each other at all. What is owned in several
+		// places then sees a part of the machines each: the leader takes it all.
+		if _, ok := b.Leader(); ok && now-b.handed > 2*loop.Second {
+			b.handed = now
+			b.handOver()
+		}
+	}
+	if isolated && !gather && len(b.mine) > 0 && (b.handed == 0 || now-b.handed > 30*loop.Second) {
 		// The lease holds, but nothing decided here reaches a machine that
 		// reports elsewhere: those who hear each other should own what it owns.
 		// Should nobody take it, it is claimed again below, and kept for a while.
@@ -341,7 +357,12 @@
 		if owned >= fair {
 			wait = 1200 * loop.Millisecond
 		}
-		if isolated {
+		switch {
+		case gather && leads:
+			wait = 0
+		case gather && key != leaderKey:
+			continue
+		case isolated && !gather:
 			wait += 4 * loop.Second
 		}
 		if now-at >= wait {
@@ -351,6 +372,34 @@
 	}
 }
 
+// tell lets the others know whether this node hears any of them. The state service
+// is the only way left for that.
+func (b *Member) tell(alone bool) {
+	if b.telling {
+		return
+	}
+	b.telling = true
+	lease := b.lease
+	rec := nodeRecord{Epoch: b.inst, Lease: lease, Alone: alone}
+	b.c.Txn(store.Leases, wire.Txn{Then: []wire.Change{{Put: nodeKeys + b.label, Value: rec, Lease: lease}}}, func(r store.Result) {
+		b.telling = false
+		if r.Outcome == store.Applied && lease == b.lease {
+			b.alone = alone
+			b.m.Apply(nodeKeys+b.label, wire.Marshal(rec), r.Tally, false)
+		}
+	})
+}
+
+// AllAlone tells whether no node hears another, by what each has told.
+func (b *Member) AllAlone() bool {
+	for _, rec := range b.nodes {
+		if !rec.Alone {
+			return false
+		}
+	}
+	return len(b.nodes) > 1
+}
+
 // handOver gives everything owned back, so that others may claim it.
 func (b *Member) handOver() {
 	for key, o := range b.mine {
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -141,3 +141,30 @@
 		t.Fatalf("the teams did not move: %q %q", r, u)
 	}
 }
+
+// Where no node can speak to another, the leader gathers all teams.
+func TestLeaderGathersWhenAllAreAlone(t *testing.T) {
+	s := &stepped{now: 100 * loop.Second}
+	state := standin.NewState(func() loop.Micros { return s.now })
+	var all []*Member
+	for _, label := range []string{"a", "b", "c"} {
+		all = append(all, nodeOn(s, &tap{state: state}, label))
+	}
+	s.run(5 * loop.Second)
+	for _, b := range all {
+		b.Isolated = func() bool { return true }
+	}
+	s.run(12 * loop.Second)
+	o, ok := all[0].Leader()
+	red, blue := owners(all[0])
+	if !ok || red != o.Node || blue != o.Node {
+		t.Fatalf("leader %q, red %q, blue %q", o.Node, red, blue)
+	}
+	for _, b := range all {
+		b.Isolated = func() bool { return false }
+	}
+	s.run(3 * loop.Second)
+	if all[0].AllAlone() {
+		t.Fatal("still said to be alone")
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -97,7 +97,7 @@
 		Label:     cfg.Label,
 		MayAnswer: n.mayAnswer,
 		MayStart:  n.mayStart,
-		Isolated:  func() bool { return n.isolated() && n.member.Nodes() > 1 },
+		SendOn:    n.sendOn,
 		Epoch:     n.member.Epoch,
 		Raise:     n.member.RaiseEpoch,
 		Type:      func(name string) (wire.MachineType, bool) { return n.rental.Type(name) },
@@ -191,7 +191,7 @@
 			return false
 		},
 		Entitled: n.member.Entitled,
-		Isolated: n.isolated,
+		Isolated: func() bool { return n.isolated() && !n.member.AllAlone() },
 		Faulty:   n.placer.Faulty,
 		Probe:    n.probe,
 	})
@@ -280,6 +280,21 @@
 	return k.Status, k.Heard != 0 && age < 2500*loop.Millisecond && late < 3*loop.Second+off
 }
 
+// sendOn tells whether workers should report elsewhere. A node that hears no peer
+// sends them on: to the leader, where no node hears another, or to whom they find.
+func (n *Node) sendOn() (bool, string) {
+	if !n.isolated() || n.member.Nodes() < 2 {
+		return false, ""
+	}
+	if _, leads := n.member.Leads(); leads && n.member.AllAlone() {
+		return false, ""
+	}
+	if o, ok := n.member.Leader(); ok && o.Node != n.cfg.Label && n.member.AllAlone() {
+		return true, o.Node
+	}
+	return true, ""
+}
+
 // isolated tells whether no peer was heard for a while.
 func (n *Node) isolated() bool {
 	if n.loop.Now()-n.began < 5*loop.Second {
--- a/internal/node/sim_test.go
+++ b/internal/node/sim_test.go
@@ -32,7 +32,7 @@
 		return out
 	}
 	d := w.between(2*loop.Second, 25*loop.Second)
-	switch r.IntN(9) {
+	switch r.IntN(10) {
 	case 0:
 		w.kill(label)
 	case 1:
@@ -56,6 +56,12 @@
 				w.cloud.Lose(name)
 			}
 		}
+	case 9: // no node hears another
+		for _, a := range w.labels {
+			for _, b := range w.labels {
+				cutAll(d, a+">"+b)
+			}
+		}
 	case 8: // a machine hangs, and resumes
 		for _, x := range w.workers {
 			if !x.gone {
