--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -304,9 +304,14 @@
 					b.order = append(b.order, id)
 				}
 			}
+		case store.Refused:
+			// It cannot be taken now: its user is told at once when to come back.
+			for _, id := range ids {
+				b.settleCreate(id, Answer{Code: 503, ID: id})
+			}
 		default:
-			// Refused or unknown: the same creation may be tried again, since
-			// it is conditioned on the job's absence.
+			// Unknown: the same creation may be tried again, since it is
+			// conditioned on the job's absence.
 			b.order = append(ids, b.order...)
 			b.r.After(100*loop.Millisecond, b.pumpCreates)
 			return
@@ -425,6 +430,10 @@
 					b.settleCheck(id, answer(b.jobs[id], 200))
 				}
 			}
+		case store.Refused:
+			for _, id := range ids {
+				b.settleCheck(id, Answer{Code: 503, ID: id})
+			}
 		default:
 			b.corder = append(ids, b.corder...)
 			wait = 150 * loop.Millisecond
@@ -494,6 +503,8 @@
 					}
 					cb(Answer{Code: 503, ID: id})
 				})
+			case store.Refused:
+				cb(Answer{Code: 503, ID: id})
 			default:
 				b.r.After(120*loop.Millisecond, try)
 			}
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -1,11 +1,16 @@
 package job
 
 import (
+	"io"
+	"log/slog"
 	"maps"
 	"math"
 	"testing"
+	"time"
 
 	"cleatpick/internal/config"
+	"cleatpick/internal/loop"
+	"cleatpick/internal/store"
 	"cleatpick/internal/wire"
 )
 
@@ -97,3 +102,30 @@
 		}
 	})
 }
+
+// frozen is a moment: nothing that waits for later ever runs.
+type frozen struct{}
+
+func (frozen) Now() loop.Micros          { return 1 }
+func (frozen) Wall() loop.Micros         { return 1 }
+func (frozen) Post(f func())             { f() }
+func (frozen) After(loop.Micros, func()) {}
+func (frozen) Go(f func())               { f() }
+func (frozen) Do(string, string, []byte, time.Duration) store.Response {
+	return store.Response{Status: 503}
+}
+
+// What cannot be taken now is answered at once, never held back until it can.
+func TestRefusalIsAnsweredAtOnce(t *testing.T) {
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	c := store.NewClient(frozen{}, frozen{}, log, 100, 100, 1)
+	b := NewBook(frozen{}, c, store.NewMirror(c, frozen{}, "c/"), log, 16)
+	var codes []int
+	note := func(a Answer) { codes = append(codes, a.Code) }
+	b.Submit("job-1", &Spec{Team: "red", Tasks: 1}, note)
+	b.Poll("job-2", note)
+	b.Withdraw("job-3", note)
+	if len(codes) != 3 || codes[0] != 503 || codes[1] != 503 || codes[2] != 503 {
+		t.Fatalf("answered so far: %v", codes)
+	}
+}
