--- a/internal/store/mirror.go
+++ b/internal/store/mirror.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"math/rand/v2"
 	"net"
 	"sort"
 	"strconv"
@@ -37,6 +38,7 @@
 	prefix  string
 	state   MirrorState
 	since   uint64
+	tries   int
 	entries map[string]Entry
 	subs    []sub
 	ready   []func()
@@ -114,9 +116,14 @@
 	m.setState(MirrorReading)
 	m.c.Scan(Answers, m.prefix, func(items []wire.Item, tally uint64, ok bool) {
 		if !ok {
-			m.c.r.After(500*loop.Millisecond, m.read)
+			// Nodes that start together must not ask together.
+			m.tries = min(m.tries+1, 4)
+			wait := 200 * loop.Millisecond << m.tries
+			m.c.log.Info("state service cannot be read yet", "prefix", m.prefix, "again_in_us", wait)
+			m.c.r.After(wait/2+rand.Int64N(wait/2), m.read)
 			return
 		}
+		m.tries = 0
 		have := map[string]bool{}
 		for _, it := range items {
 			have[it.Key] = true
