Clean up: one room arithmetic, one HTTP exchange, one way to reach a node or itself

Three copies of the sums over claimed room, two of an HTTP exchange, seven of the test for this node, two of hand-driven time in tests; and fields, functions and a branch that nothing reached. Stopped attempts are told apart by number, not by its last six bits.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -84,7 +84,6 @@
 	Changed func(*View)
 	Drop    func(to string, d Drop)
 	ClockTo loop.Micros // twice the bound on the time of day
-	ReportS loop.Micros
 }
 
 // Agent is this node's machine room.
--- a/internal/agent/view.go
+++ b/internal/agent/view.go
@@ -138,6 +138,13 @@
 	r.MemoryGB -= s.MemoryGB
 }
 
+// Give gives a task's share back.
+func (r *Room) Give(s *job.Spec) {
+	r.CPUs += s.CPUs
+	r.GPUs += s.GPUs
+	r.MemoryGB += s.MemoryGB
+}
+
 // Free is the room left on a machine; ok is false where something runs whose
 // size is not known here, so that nothing may be placed.
 func Free(v *View, t wire.MachineType, spec func(task string) *job.Spec) (Room, bool) {
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -208,9 +208,6 @@
 	}
 }
 
-// Waiting is the number of users who wait for an answer.
-func (b *Book) Waiting() int { return len(b.creates) + len(b.checks) }
-
 func answer(j *Job, code int) Answer {
 	return Answer{Code: code, Phase: j.Phase, ID: j.ID, Tasks: j.Tasks}
 }
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -461,9 +461,6 @@
 	return b.epoch
 }
 
-// Instance names this life of the node.
-func (b *Member) Instance() uint64 { return b.inst }
-
 // Active tells whether the node has joined.
 func (b *Member) Active() bool { return b.state == Active }
 
@@ -487,9 +484,6 @@
 // LeaderCond is the condition that this claim still leads.
 func LeaderCond(claim Owner) wire.Cond { return wire.Cond{Key: leaderKey, Mark: claim.Mark} }
 
-// TeamOf tells whether a key is a team's claim, and of which.
-func TeamOf(key string) (string, bool) { return strings.CutPrefix(key, teamKeys) }
-
 // Nodes is the number of nodes that are registered now.
 func (b *Member) Nodes() int { return len(b.nodes) }
 
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -11,40 +11,6 @@
 	"cleatpick/internal/store"
 )
 
-// stepped is time moved by hand.
-type stepped struct {
-	now  loop.Micros
-	todo []func()
-	at   []loop.Micros
-}
-
-func (s *stepped) Now() loop.Micros  { return s.now }
-func (s *stepped) Wall() loop.Micros { return s.now }
-func (s *stepped) Post(f func())     { s.After(0, f) }
-func (s *stepped) Go(f func())       { s.After(1, f) }
-func (s *stepped) After(d loop.Micros, f func()) {
-	s.todo, s.at = append(s.todo, f), append(s.at, s.now+d)
-}
-
-func (s *stepped) run(d loop.Micros) {
-	for end := s.now + d; ; {
-		k := -1
-		for i := range s.at {
-			if s.at[i] <= end && (k < 0 || s.at[i] < s.at[k]) {
-				k = i
-			}
-		}
-		if k < 0 {
-			s.now = end
-			return
-		}
-		f := s.todo[k]
-		s.now = max(s.now, s.at[k])
-		s.todo, s.at = append(s.todo[:k], s.todo[k+1:]...), append(s.at[:k], s.at[k+1:]...)
-		f()
-	}
-}
-
 // tap lets a node lose the state service.
 type tap struct {
 	state *standin.State
@@ -62,7 +28,7 @@
 	return x.state.Do(method, path, body, d)
 }
 
-func nodeOn(s *stepped, x *tap, label string) *Member {
+func nodeOn(s *standin.Stepped, x *tap, label string) *Member {
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	c := store.NewClient(s, x, log, 1000, 1000, 1)
 	m := store.NewMirror(c, x, Prefix)
@@ -81,18 +47,18 @@
 // A node that is refused by the state service alone loses what it owns, and never
 // believes to own what another has claimed.
 func TestRefusedNodeLosesItsTeams(t *testing.T) {
-	s := &stepped{now: 100 * loop.Second}
-	state := standin.NewState(func() loop.Micros { return s.now })
+	s := standin.NewStepped(100 * loop.Second)
+	state := standin.NewState(func() loop.Micros { return s.Now() })
 	xa, xb := &tap{state: state}, &tap{state: state}
 	a := nodeOn(s, xa, "a")
-	s.run(3 * loop.Second)
+	s.Run(3 * loop.Second)
 	if r, u := owners(a); r != "a" || u != "a" {
 		t.Fatalf("alone, a does not own both teams: %q %q", r, u)
 	}
 	b := nodeOn(s, xb, "b")
-	s.run(2 * loop.Second)
+	s.Run(2 * loop.Second)
 	xa.off = true
-	s.run(10 * loop.Second)
+	s.Run(10 * loop.Second)
 	if r, u := owners(b); r != "b" || u != "b" {
 		t.Fatalf("b did not take the teams over: %q %q", r, u)
 	}
@@ -100,7 +66,7 @@
 		t.Fatal("a believes in a lease that it could not renew")
 	}
 	xa.off = false
-	s.run(10 * loop.Second)
+	s.Run(10 * loop.Second)
 	if _, mine := a.mine[teamKeys+"red"]; mine || !a.Active() {
 		t.Fatalf("a is active %v and believes to own red %v", a.Active(), mine)
 	}
@@ -109,15 +75,15 @@
 // A packet filter refuses connections like a dead node does. Its lease was once
 // ended with every refusal, and its teams were served by nobody.
 func TestEvictionIsNotRepeated(t *testing.T) {
-	s := &stepped{now: 100 * loop.Second}
-	state := standin.NewState(func() loop.Micros { return s.now })
+	s := standin.NewStepped(100 * loop.Second)
+	state := standin.NewState(func() loop.Micros { return s.Now() })
 	xa, xb := &tap{state: state}, &tap{state: state}
 	a := nodeOn(s, xa, "a")
 	b := nodeOn(s, xb, "b")
-	s.run(3 * loop.Second)
+	s.Run(3 * loop.Second)
 	for range 40 {
 		a.Evict("b")
-		s.run(500 * loop.Millisecond)
+		s.Run(500 * loop.Millisecond)
 	}
 	if xa.ends != 1 {
 		t.Fatalf("the lease was ended %d times in 20 s", xa.ends)
@@ -129,14 +95,14 @@
 
 // A node that hears no peer hands over once, and keeps what nobody else takes.
 func TestHandOver(t *testing.T) {
-	s := &stepped{now: 100 * loop.Second}
-	state := standin.NewState(func() loop.Micros { return s.now })
+	s := standin.NewStepped(100 * loop.Second)
+	state := standin.NewState(func() loop.Micros { return s.Now() })
 	a := nodeOn(s, &tap{state: state}, "a")
-	s.run(3 * loop.Second)
+	s.Run(3 * loop.Second)
 	b := nodeOn(s, &tap{state: state}, "b")
-	s.run(2 * loop.Second)
+	s.Run(2 * loop.Second)
 	a.Isolated = func() bool { return true }
-	s.run(3 * loop.Second)
+	s.Run(3 * loop.Second)
 	if r, u := owners(b); r != "b" || u != "b" {
 		t.Fatalf("the teams did not move: %q %q", r, u)
 	}
@@ -144,17 +110,17 @@
 
 // Where no node can speak to another, the leader gathers all teams.
 func TestLeaderGathersWhenAllAreAlone(t *testing.T) {
-	s := &stepped{now: 100 * loop.Second}
-	state := standin.NewState(func() loop.Micros { return s.now })
+	s := standin.NewStepped(100 * loop.Second)
+	state := standin.NewState(func() loop.Micros { return s.Now() })
 	var all []*Member
 	for _, label := range []string{"a", "b", "c"} {
 		all = append(all, nodeOn(s, &tap{state: state}, label))
 	}
-	s.run(5 * loop.Second)
+	s.Run(5 * loop.Second)
 	for _, b := range all {
 		b.Isolated = func() bool { return true }
 	}
-	s.run(12 * loop.Second)
+	s.Run(12 * loop.Second)
 	o, ok := all[0].Leader()
 	red, blue := owners(all[0])
 	if !ok || red != o.Node || blue != o.Node {
@@ -163,7 +129,7 @@
 	for _, b := range all {
 		b.Isolated = func() bool { return false }
 	}
-	s.run(3 * loop.Second)
+	s.Run(3 * loop.Second)
 	if all[0].AllAlone() {
 		t.Fatal("still said to be alone")
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -73,7 +73,7 @@
 		Watch: store.NewDoer(cfg.Outside.State, 4),
 		Cloud: store.NewDoer(cfg.Outside.Cloud, 4),
 		Workers: func(addr, method, path string, body []byte, timeout time.Duration) store.Response {
-			return exchange(workers, addr, method, path, body, timeout)
+			return store.Exchange(workers, addr, method, path, body, timeout)
 		},
 	})
 }
@@ -110,56 +110,31 @@
 			n.rental.View(v)
 		},
 		Drop: func(to string, d agent.Drop) {
-			if to == cfg.Label {
-				l.Post(func() { n.placer.Drop(cfg.Label, d) })
-				return
-			}
-			n.net.To(to, func(e *peer.Envelope) { e.Drops = append(e.Drops, d) })
+			n.at(to, func() { l.Post(func() { n.placer.Drop(cfg.Label, d) }) }, func(e *peer.Envelope) { e.Drops = append(e.Drops, d) })
 		},
 		ClockTo: loop.Micros(cfg.Cluster.ClockOffMS * 2000),
-		ReportS: loop.Seconds(cfg.Cluster.Workers.ReportS),
 	}, n.commands)
 	n.placer = placer.New(l, n.client, log, cfg, placer.Node{
 		Label: cfg.Label,
 		Type:  func(name string) (wire.MachineType, bool) { return n.rental.Type(name) },
 		Start: func(host string, s agent.Start) {
-			if host == cfg.Label {
-				n.agent.Start(s)
-				return
-			}
-			n.net.To(host, func(e *peer.Envelope) { e.Starts = append(e.Starts, s) })
+			n.at(host, func() { n.agent.Start(s) }, func(e *peer.Envelope) { e.Starts = append(e.Starts, s) })
 		},
 		Check: func(host, machine string) {
-			if host == cfg.Label {
-				n.agent.Check(machine)
-				return
-			}
-			n.net.To(host, func(e *peer.Envelope) { e.Checks = append(e.Checks, machine) })
+			n.at(host, func() { n.agent.Check(machine) }, func(e *peer.Envelope) { e.Checks = append(e.Checks, machine) })
 		},
 		Reserve: func(host string, s agent.Start) {
-			if host == cfg.Label {
-				n.agent.Reserve(s)
-				return
-			}
-			n.net.To(host, func(e *peer.Envelope) { e.Reserves = append(e.Reserves, s) })
+			n.at(host, func() { n.agent.Reserve(s) }, func(e *peer.Envelope) { e.Reserves = append(e.Reserves, s) })
 		},
 		Stop: func(host string, s agent.Stop) {
-			if host == cfg.Label {
-				n.agent.Stop(s)
-				return
-			}
-			n.net.To(host, func(e *peer.Envelope) { e.Stops = append(e.Stops, s) })
+			n.at(host, func() { n.agent.Stop(s) }, func(e *peer.Envelope) { e.Stops = append(e.Stops, s) })
 		},
 		Tally: func(t peer.Tally) {
 			o, ok := n.member.Leader()
 			if !ok {
 				return
 			}
-			if o.Node == cfg.Label {
-				n.rental.Tally(cfg.Label, t)
-				return
-			}
-			n.net.To(o.Node, func(e *peer.Envelope) { e.Tally = &t })
+			n.at(o.Node, func() { n.rental.Tally(cfg.Label, t) }, func(e *peer.Envelope) { e.Tally = &t })
 		},
 		Tell: func(p []peer.Progress) {
 			n.net.All(func(e *peer.Envelope) { e.Progress = append(e.Progress, p...) })
@@ -173,14 +148,8 @@
 		},
 	}, n.book, n.agent)
 	n.rental = rental.New(l, log, cfg, n.client, n.mirror, out.Cloud, n.agent, rental.Node{
-		Label: cfg.Label,
-		Epoch: n.member.Epoch,
 		Close: func(host string, c peer.Close) {
-			if host == cfg.Label {
-				n.agent.Close(c.Machine, c.Until)
-				return
-			}
-			n.net.To(host, func(e *peer.Envelope) { e.Closes = append(e.Closes, c) })
+			n.at(host, func() { n.agent.Close(c.Machine, c.Until) }, func(e *peer.Envelope) { e.Closes = append(e.Closes, c) })
 		},
 		Unheard: func(zone string) bool {
 			for _, p := range cfg.Known {
@@ -228,6 +197,15 @@
 	return n
 }
 
+// at does something here, if the named node is this one, or tells that node of it.
+func (n *Node) at(label string, here func(), there func(*peer.Envelope)) {
+	if label == n.cfg.Label {
+		here()
+		return
+	}
+	n.net.To(label, there)
+}
+
 // receive takes in a frame of a peer.
 func (n *Node) receive(e *peer.Envelope) {
 	for _, v := range e.Views {
@@ -385,22 +363,6 @@
 	return r.Err == nil && r.Status == 200
 }
 
-func exchange(c *fasthttp.Client, addr, method, path string, body []byte, timeout time.Duration) store.Response {
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI("http://" + addr + path)
-	req.Header.SetMethod(method)
-	if body != nil {
-		req.Header.SetContentType("application/cbor")
-		req.SetBodyRaw(body)
-	}
-	if err := c.DoTimeout(req, resp, timeout); err != nil {
-		return store.Response{Err: err}
-	}
-	return store.Response{Status: resp.StatusCode(), Body: append([]byte(nil), resp.Body()...)}
-}
-
 func (n *Node) status() {
 	s := &peer.Status{Wall: n.loop.Wall(), Contact: n.contact() && n.member.Entitled(), Hosted: n.agent.Hosted()}
 	if !s.Contact {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -49,7 +49,6 @@
 	Wall    loop.Micros `cbor:"1,keyasint"`
 	Wants   []Want      `cbor:"2,keyasint,omitempty"`
 	Suspect []string    `cbor:"3,keyasint,omitempty"` // machines that hold tasks and are not heard
-	Needed  []string    `cbor:"4,keyasint,omitempty"` // machines that recorded tasks are bound to
 }
 
 // Progress is what an owner tells of a job for display.
--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -318,11 +318,7 @@
 	if len(p.pre.claims) == 0 {
 		return true
 	}
-	room := sl.room
-	held := p.claimedBy(sl.v.Name, t)
-	room.CPUs -= held.CPUs
-	room.GPUs -= held.GPUs
-	room.MemoryGB -= held.MemoryGB
+	room := p.roomFor(sl, t)
 	return room.Fits(t.j.Spec)
 }
 
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -68,7 +68,7 @@
 	p := &Placer{r: r, c: c, log: log, cfg: cfg, n: n, book: book, agent: a, teams: map[string]*team{}, on: map[string]map[ref]struct{}{},
 		health: newHealth(), zoneMemo: map[string]string{}, heard: map[string]loop.Micros{}, avoid: map[string]loop.Micros{},
 		images: map[string]map[string]loop.Micros{}, nonce: rand.Uint64() >> 1, usage: map[string]peer.Usage{},
-		pre: preemptor{stopped: map[string]loop.Micros{}}, runs: map[string]runs{}, checked: map[string]loop.Micros{}}
+		pre: preemptor{stopped: map[attempt]loop.Micros{}}, runs: map[string]runs{}, checked: map[string]loop.Micros{}}
 	loop.Every(r, 400*loop.Millisecond, p.tick)
 	return p
 }
--- a/internal/placer/preempt.go
+++ b/internal/placer/preempt.go
@@ -10,16 +10,10 @@
 	"cleatpick/internal/wire"
 )
 
-// A claim keeps the room that a stopped task leaves for the job it was stopped for.
-type claim struct {
-	peer.Claim
-	remote bool
-}
-
 // preemptor remembers what was stopped for whom.
 type preemptor struct {
-	claims  []claim
-	stopped map[string]loop.Micros // task and attempt: asked to stop, and until when that counts
+	claims  []peer.Claim
+	stopped map[attempt]loop.Micros // task and attempt: asked to stop, and until when that counts
 	nextRun loop.Micros
 	news    []peer.Claim
 }
@@ -53,26 +47,25 @@
 
 // LearnClaims takes in what other owners stopped tasks for.
 func (p *Placer) LearnClaims(cs []peer.Claim) {
-	for _, c := range cs {
-		p.pre.claims = append(p.pre.claims, claim{c, true})
-	}
+	p.pre.claims = append(p.pre.claims, cs...)
 }
 
-// claimedBy is the room on a machine that is kept for other jobs than this one.
-func (p *Placer) claimedBy(machine string, t *table) agent.Room {
-	var r agent.Room
+// roomFor is what a machine has free for a job beside the room that is kept for
+// other jobs of at least its priority.
+func (p *Placer) roomFor(sl *slot, t *table) agent.Room {
+	r := sl.room
 	for i := range p.pre.claims {
 		c := &p.pre.claims[i]
-		if c.Machine == machine && c.Job != t.j.ID && c.Priority >= int(t.j.Spec.Priority) {
-			r.CPUs += c.CPUs
-			r.GPUs += c.GPUs
-			r.MemoryGB += c.MemoryGB
+		if c.Machine == sl.v.Name && c.Job != t.j.ID && c.Priority >= int(t.j.Spec.Priority) {
+			r.CPUs -= c.CPUs
+			r.GPUs -= c.GPUs
+			r.MemoryGB -= c.MemoryGB
 		}
 	}
 	return r
 }
 
-// used takes a claim of the job on this machine away, since a task took the room.
+// useClaim takes a claim of the job on this machine away, since a task took the room.
 func (p *Placer) useClaim(machine, id string) {
 	for i := range p.pre.claims {
 		if c := &p.pre.claims[i]; c.Machine == machine && c.Job == id {
@@ -128,7 +121,7 @@
 		if x.State != wire.TaskRunning && x.State != wire.TaskFetching {
 			continue
 		}
-		if _, was := p.pre.stopped[stopKey(x)]; was {
+		if _, was := p.pre.stopped[attemptOf(x)]; was {
 			continue
 		}
 		s := p.specOf(x.Task)
@@ -146,12 +139,6 @@
 			ran = s.Save
 		case s.Checkpoint > 0:
 			ran %= s.Checkpoint
-		case !urgent && s.Priority < t.j.Spec.Priority && ran > 10*loop.Second:
-			// Work that cannot be saved is stopped only for what is urgent,
-			// or for a guarantee.
-			if !within {
-				continue
-			}
 		}
 		y.loss = float64(ran) / 1e6 * s.CPUs
 		if s.Priority >= t.j.Spec.Priority {
@@ -163,7 +150,13 @@
 	return out
 }
 
-func stopKey(t *agent.Task) string { return t.Task + "#" + string(rune('0'+t.Attempt%64)) }
+// attempt names one try of a task.
+type attempt struct {
+	task string
+	no   uint64
+}
+
+func attemptOf(t *agent.Task) attempt { return attempt{t.Task, t.Attempt} }
 
 // preempt makes room for the waiting tasks of a job that found none.
 func (p *Placer) preempt(t *table, slots []*slot, want int, within bool, excess map[string]float64) {
@@ -181,11 +174,7 @@
 			if !allowed(t, sl.v) {
 				continue
 			}
-			room := sl.room
-			held := p.claimedBy(sl.v.Name, t)
-			room.CPUs -= held.CPUs
-			room.GPUs -= held.GPUs
-			room.MemoryGB -= held.MemoryGB
+			room := p.roomFor(sl, t)
 			cost := 0.0
 			if _, ok := p.images[sl.v.Name][s.Image]; !ok {
 				cost = 20 * s.CPUs
@@ -195,9 +184,7 @@
 				if room.Fits(s) {
 					break
 				}
-				room.CPUs += y.spec.CPUs
-				room.GPUs += y.spec.GPUs
-				room.MemoryGB += y.spec.MemoryGB
+				room.Give(y.spec)
 				cost += y.loss
 				set = append(set, y)
 			}
@@ -212,17 +199,15 @@
 		for _, y := range bestSet {
 			wait = max(wait, y.grace)
 			excess[y.spec.Team] -= y.spec.CPUs
-			best.room.CPUs += y.spec.CPUs
-			best.room.GPUs += y.spec.GPUs
-			best.room.MemoryGB += y.spec.MemoryGB
-			p.pre.stopped[stopKey(y.task)] = p.r.Now() + y.grace + 5*loop.Second
+			best.room.Give(y.spec)
+			p.pre.stopped[attemptOf(y.task)] = p.r.Now() + y.grace + 5*loop.Second
 			p.log.Debug("preempt", "task", y.task.Task, "machine", best.v.Name, "for", t.j.ID, "grace_us", y.grace)
 			p.n.Stop(best.v.Host, agent.Stop{Machine: best.v.Name, Task: y.task.Task, Attempt: y.task.Attempt, Grace: y.grace})
 		}
 		best.room.Take(s)
 		c := peer.Claim{Machine: best.v.Name, Job: t.j.ID, Priority: int(s.Priority), CPUs: s.CPUs, GPUs: s.GPUs, MemoryGB: s.MemoryGB,
 			Until: p.r.Wall() + wait + 4*loop.Second}
-		p.pre.claims = append(p.pre.claims, claim{c, false})
+		p.pre.claims = append(p.pre.claims, c)
 		p.pre.news = append(p.pre.news, c)
 	}
 }
--- a/internal/rental/rental.go
+++ b/internal/rental/rental.go
@@ -56,7 +56,6 @@
 	listed   string      // the cloud's word for it
 	emptyTo  loop.Micros // end of its standby; 0: not empty
 	why      string
-	closeTo  loop.Micros
 	probing  bool
 	probes   int
 	asked    loop.Micros
@@ -109,8 +108,6 @@
 
 // Node is what this slice needs of the node around it.
 type Node struct {
-	Label string
-	Epoch func() uint64
 	// Close asks a machine's host to keep starts off it.
 	Close func(host string, c peer.Close)
 	// Unheard tells whether a peer in this zone was not heard lately: it may go on
@@ -513,8 +510,7 @@
 			}
 			if now-m.asked > loop.Second {
 				m.asked = now
-				m.closeTo = wall + 12*loop.Second
-				t.n.Close(v.Host, peer.Close{Machine: m.name, Until: m.closeTo})
+				t.n.Close(v.Host, peer.Close{Machine: m.name, Until: wall + 12*loop.Second})
 			}
 			if v.Closed && empty(v) && now-m.heard < 2*report+2*loop.Second {
 				t.setState(m, Deleting, m.why)
--- a/internal/rental/rental_test.go
+++ b/internal/rental/rental_test.go
@@ -17,47 +17,8 @@
 	"cleatpick/internal/wire"
 )
 
-// stepped is time moved by hand: what is due runs when the test moves on.
-type stepped struct {
-	now  loop.Micros
-	todo []due
-}
-
-type due struct {
-	at loop.Micros
-	f  func()
-}
-
-func (s *stepped) Now() loop.Micros  { return s.now }
-func (s *stepped) Wall() loop.Micros { return s.now }
-func (s *stepped) Post(f func())     { s.After(0, f) }
-func (s *stepped) Go(f func())       { s.After(1, f) }
-func (s *stepped) After(d loop.Micros, f func()) {
-	s.todo = append(s.todo, due{s.now + d, f})
-}
-
-func (s *stepped) run(d loop.Micros) {
-	end := s.now + d
-	for {
-		first := -1
-		for i, x := range s.todo {
-			if x.at <= end && (first < 0 || x.at < s.todo[first].at) {
-				first = i
-			}
-		}
-		if first < 0 {
-			s.now = end
-			return
-		}
-		x := s.todo[first]
-		s.todo = append(s.todo[:first], s.todo[first+1:]...)
-		s.now = max(s.now, x.at)
-		x.f()
-	}
-}
-
 type rig struct {
-	*stepped
+	*standin.Stepped
 	t        *Rental
 	a        *agent.Agent
 	cloud    *standin.Cloud
@@ -74,12 +35,12 @@
 }
 
 func newRig(t *testing.T, each int) *rig {
-	g := &rig{stepped: &stepped{now: 1000 * loop.Second}, entitled: true}
+	g := &rig{Stepped: standin.NewStepped(1000 * loop.Second), entitled: true}
 	cfg := &config.Config{Operator: config.Defaults()}
 	cfg.Cluster.Workers.ReportS, cfg.Cluster.Workers.LeaseS = 1, 10
 	cfg.Cluster.Cloud.RPS, cfg.Cluster.Cloud.ListLagS = 5, 2
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	state := standin.NewState(func() loop.Micros { return g.now })
+	state := standin.NewState(func() loop.Micros { return g.Now() })
 	state.Put("c/l", map[string]any{"n": "a", "e": 1})
 	c := store.NewClient(g, state, log, 1000, 1000, 1)
 	m := store.NewMirror(c, state, "c/")
@@ -87,11 +48,11 @@
 	g.cloud.Up = func(l wire.Listed) { g.ups = append(g.ups, l) }
 	g.cloud.Gone = func(name string) { g.deleted = append(g.deleted, name) }
 	g.a = agent.New(g, log, agent.Host{Label: "a", Changed: func(v *agent.View) { g.t.View(v) }}, nil)
-	g.t = New(g, log, cfg, c, m, g, g.a, Node{Label: "a", Epoch: func() uint64 { return 1 }, Close: func(string, peer.Close) {},
+	g.t = New(g, log, cfg, c, m, g, g.a, Node{Close: func(string, peer.Close) {},
 		Unheard: func(string) bool { return false }, Entitled: func() bool { return g.entitled }, Isolated: func() bool { return g.isolated },
 		Faulty: func(string) bool { return false }, Probe: func(string) bool { return false }})
 	m.Start()
-	g.run(loop.Second)
+	g.Run(loop.Second)
 	e, ok := m.Get("c/l")
 	if !ok {
 		t.Fatal("the claim is not mirrored")
@@ -101,7 +62,7 @@
 }
 
 func (g *rig) hear(name, zone string) {
-	g.a.Learn(&agent.View{Name: name, Type: "m8", Zone: zone, Host: "b", Session: 1, Seq: uint64(g.now), At: g.now})
+	g.a.Learn(&agent.View{Name: name, Type: "m8", Zone: zone, Host: "b", Session: 1, Seq: uint64(g.Now()), At: g.Now()})
 }
 
 func count(calls []string, part string) (n int) {
@@ -123,12 +84,12 @@
 	}{{"lease lost", false, false, 0}, {"no peer heard", true, true, 0}, {"in contact", true, false, 1}} {
 		t.Run(c.name, func(t *testing.T) {
 			g := newRig(t, 4)
-			g.run(3 * loop.Second)
+			g.Run(3 * loop.Second)
 			g.hear("n-900000", "x")
-			g.run(2 * loop.Second)
+			g.Run(2 * loop.Second)
 			g.entitled, g.isolated = c.entitled, c.isolated
 			before := len(g.calls)
-			g.run(25 * loop.Second)
+			g.Run(25 * loop.Second)
 			if n := count(g.calls[before:], "/machines/delete"); (n > 0) != (c.want > 0) {
 				t.Fatalf("%d deletions asked for, want %d", n, c.want)
 			}
@@ -141,11 +102,11 @@
 func TestStockoutBacksOffAndOrdersOnce(t *testing.T) {
 	g := newRig(t, 0)
 	tally := func() {
-		g.t.Tally("b", peer.Tally{Wall: g.now, Wants: []peer.Want{{CPUs: 2, MemoryGB: 1, AnyType: true, Spot: true, Count: 8}}})
+		g.t.Tally("b", peer.Tally{Wall: g.Now(), Wants: []peer.Want{{CPUs: 2, MemoryGB: 1, AnyType: true, Spot: true, Count: 8}}})
 	}
 	for range 60 {
 		tally()
-		g.run(500 * loop.Millisecond)
+		g.Run(500 * loop.Millisecond)
 	}
 	if n := count(g.calls, "POST /machines"); n < 4 || n > 24 {
 		t.Fatalf("%d requests in 30 s of stockout", n)
@@ -153,14 +114,14 @@
 	g.cloud.Left["x"] = 10
 	for range 100 {
 		tally() // nobody is heard yet: what was rented is on its way
-		g.run(100 * loop.Millisecond)
+		g.Run(100 * loop.Millisecond)
 		if len(g.ups) > 0 {
 			break
 		}
 	}
 	for range 30 {
 		tally()
-		g.run(100 * loop.Millisecond)
+		g.Run(100 * loop.Millisecond)
 	}
 	if len(g.ups) != 2 {
 		t.Fatalf("%d machines of 8 CPUs rented for 8 tasks of 2", len(g.ups))
@@ -172,14 +133,14 @@
 	g := newRig(t, 4)
 	var closed []peer.Close
 	g.t.n.Close = func(_ string, c peer.Close) { closed = append(closed, c) }
-	g.run(3 * loop.Second)
+	g.Run(3 * loop.Second)
 	seen := false
 	for range 4000 {
-		v := &agent.View{Name: "n-900000", Type: "m8", Zone: "x", Host: "b", Session: 1, Seq: uint64(g.now), At: g.now}
+		v := &agent.View{Name: "n-900000", Type: "m8", Zone: "x", Host: "b", Session: 1, Seq: uint64(g.Now()), At: g.Now()}
 		v.Closed = len(closed) > 0 && seen
 		seen = len(closed) > 0
 		g.a.Learn(v)
-		g.run(500 * loop.Millisecond)
+		g.Run(500 * loop.Millisecond)
 		if g.a.IsGone("n-900000") {
 			break
 		}
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -81,16 +81,23 @@
 }
 
 func (h httpDoer) Do(method, path string, body []byte, timeout time.Duration) Response {
+	return Exchange(h.c, h.c.Addr, method, path, body, timeout)
+}
+
+// Exchange makes one HTTP exchange with an address by way of a client.
+func Exchange(c interface {
+	DoTimeout(*fasthttp.Request, *fasthttp.Response, time.Duration) error
+}, addr, method, path string, body []byte, timeout time.Duration) Response {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI("http://" + h.c.Addr + path)
+	req.SetRequestURI("http://" + addr + path)
 	req.Header.SetMethod(method)
 	if body != nil {
 		req.Header.SetContentType("application/cbor")
 		req.SetBodyRaw(body)
 	}
-	if err := h.c.DoTimeout(req, resp, timeout); err != nil {
+	if err := c.DoTimeout(req, resp, timeout); err != nil {
 		return Response{Err: err}
 	}
 	return Response{Status: resp.StatusCode(), Body: append([]byte(nil), resp.Body()...)}
