--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,541 @@
+package agent
+
+import (
+	"log/slog"
+	"time"
+
+	"cleatpick/internal/job"
+	"cleatpick/internal/loop"
+	"cleatpick/internal/store"
+	"cleatpick/internal/wire"
+)
+
+// counterBits is the part of a token that counts within an epoch.
+const counterBits = 20
+
+// HostState names where a machine stands with this node.
+type HostState int
+
+// The states of a machine at a node.
+const (
+	Elsewhere HostState = iota // another node has newer reports
+	Raising                    // its token is above ours: a new epoch is being taken
+	Taking                     // our token was sent, but the worker has not shown it
+	Held                       // the worker shows our token: nobody else's command can land
+)
+
+type key struct {
+	task    string
+	attempt uint64
+}
+
+// pending is a start that this host took on.
+type pending struct {
+	s        Start
+	direct   bool   // in the direct command under way
+	inAnswer bool   // in the answer to the newest report
+	limbo    uint64 // sent by a direct command of unknown outcome: may land until this token shows
+}
+
+type request struct {
+	s     Stop
+	until loop.Micros
+}
+
+// machine is a machine that reports to this node.
+type machine struct {
+	view     View
+	state    HostState
+	token    uint64
+	pending  map[key]*pending
+	refused  map[key]loop.Micros // dropped starts, remembered until they have expired
+	stops    map[key]request
+	direct   bool
+	flushing bool
+	closeTo  loop.Micros
+	heard    loop.Micros
+	sent     loop.Micros // when the view was last published
+	dirty    bool
+}
+
+// Direct sends commands straight to a worker; it blocks, and runs off the loop.
+type Direct func(addr string, c wire.Commands, timeout time.Duration) store.Response
+
+// Host is what this slice needs of the node around it.
+type Host struct {
+	Label string
+	// MayAnswer tells whether reports may be answered, else where to send the worker.
+	MayAnswer func() (ok bool, coach string)
+	// MayStart tells whether new starts may be passed on.
+	MayStart func() bool
+	Epoch    func() uint64
+	Raise    func(done func())
+	Type     func(name string) (wire.MachineType, bool)
+	Job      func(id string) *job.Job
+	// Publish hands changed views of hosted machines to the peers.
+	Publish func([]*View)
+	// Changed is called for every newer view, of any node.
+	Changed func(*View)
+	Drop    func(to string, d Drop)
+	ClockTo loop.Micros // twice the bound on the time of day
+	ReportS loop.Micros
+}
+
+// Agent is this node's machine room.
+type Agent struct {
+	r      loop.Runner
+	log    *slog.Logger
+	h      Host
+	direct Direct
+	hosted map[string]*machine
+	views  map[string]*View
+	gone   map[string]bool
+}
+
+// New makes the machine room.
+func New(r loop.Runner, log *slog.Logger, h Host, direct Direct) *Agent {
+	a := &Agent{r: r, log: log, h: h, direct: direct, hosted: map[string]*machine{}, views: map[string]*View{}, gone: map[string]bool{}}
+	loop.Every(r, 500*loop.Millisecond, a.tick)
+	return a
+}
+
+func (a *Agent) spec(task string) *job.Spec {
+	id, _, ok := SplitTask(task)
+	if !ok {
+		return nil
+	}
+	j := a.h.Job(id)
+	if j == nil {
+		return nil
+	}
+	return j.Spec
+}
+
+// setState is the one place where a machine's standing with this node changes.
+func (a *Agent) setState(m *machine, s HostState) {
+	if m.state == s {
+		return
+	}
+	a.log.Debug("machine standing", "machine", m.view.Name, "from", int(m.state), "to", int(s), "token", m.token)
+	m.state = s
+	m.view.Settled = s == Held
+}
+
+// Answer is the response to a report.
+type Answer struct {
+	Status int
+	Body   any
+}
+
+// Beat takes in a report that came to this node; reply is called once, on the loop.
+func (a *Agent) Beat(r wire.Report, reply func(Answer)) {
+	if ok, coach := a.h.MayAnswer(); !ok {
+		reply(Answer{421, wire.ReportTo{Node: coach}})
+		return
+	}
+	if a.gone[r.Machine] {
+		reply(Answer{503, wire.Error{Error: "machine is deleted"}})
+		return
+	}
+	m := a.hosted[r.Machine]
+	if known := a.views[r.Machine]; known != nil && !(r.Session > known.Session || (r.Session == known.Session && r.Seq > known.Seq)) {
+		// A report that was held back on its way: its worker gave it up long
+		// ago, and its task list is as old as itself.
+		reply(Answer{503, wire.Error{Error: "late report"}})
+		return
+	}
+	if m == nil {
+		m = &machine{pending: map[key]*pending{}, refused: map[key]loop.Micros{}, stops: map[key]request{}}
+		a.hosted[r.Machine] = m
+	}
+	epoch := a.h.Epoch()
+	if r.Token > m.token || m.token == 0 {
+		if r.Token>>counterBits < epoch {
+			m.token = epoch << counterBits
+		} else {
+			// The worker follows a higher token than any of ours: only a
+			// newer epoch gives commands to it again.
+			a.setState(m, Raising)
+			before := epoch
+			a.h.Raise(func() {
+				if a.h.Epoch() <= before {
+					reply(Answer{503, wire.Error{Error: "no epoch"}})
+					return
+				}
+				a.Beat(r, reply)
+			})
+			return
+		}
+	}
+	a.take(m, r, true)
+	reply(Answer{200, wire.Commands{Token: m.token, Commands: a.commands(m, false)}})
+	a.touch(m)
+}
+
+// take brings the machine's view up to a report or to the body of a direct command's answer.
+func (a *Agent) take(m *machine, r wire.Report, beat bool) {
+	now, wall := a.r.Now(), a.r.Wall()
+	v := &m.view
+	if v.Session != 0 && r.Session > v.Session {
+		// The worker's lease ran out: all its tasks are killed and forgotten,
+		// and commands of the session before are refused.
+		a.log.Info("machine began a new session", "machine", r.Machine, "session", r.Session)
+		clear(m.pending)
+	}
+	if r.Token == m.token {
+		a.setState(m, Held)
+	} else {
+		a.setState(m, Taking)
+	}
+	if !sameTasks(v.Tasks, r.Tasks) || v.Session != r.Session || (v.NoticeAt == 0) != (r.NoticeS == nil) {
+		m.dirty = true
+	}
+	v.Name, v.Addr, v.Type, v.Zone, v.Spot, v.Host = r.Machine, r.Addr, r.Type, r.Zone, r.Spot, a.h.Label
+	v.Session, v.Seq = r.Session, r.Seq
+	m.heard, v.At = now, wall
+	v.NoticeAt = 0
+	if r.NoticeS != nil {
+		v.NoticeAt = wall + loop.Seconds(*r.NoticeS)
+	}
+	v.Tasks = make([]Task, 0, len(r.Tasks))
+	for _, t := range r.Tasks {
+		v.Tasks = append(v.Tasks, Task{t.Task, t.Attempt, t.State, t.Why, t.Saved})
+	}
+	for k, p := range m.pending {
+		t := v.Find(k.task)
+		switch {
+		case t != nil && t.Attempt == k.attempt:
+			// Seen. Its direct command may still be under way; the repeat has no effect.
+			delete(m.pending, k)
+		case p.limbo != 0 && r.Token >= p.limbo:
+			p.limbo = 0 // what was sent under the old token can no longer land
+		}
+		if beat {
+			p.inAnswer = false // the worker reports again: the last answer came or never will
+		}
+	}
+	a.expire(m, wall)
+}
+
+func sameTasks(a []Task, b []wire.ReportTask) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i].Task != b[i].Task || a[i].Attempt != b[i].Attempt || a[i].State != b[i].State {
+			return false
+		}
+	}
+	return true
+}
+
+// expire forgets starts that may not be carried out any more and cannot be on their way.
+func (a *Agent) expire(m *machine, wall loop.Micros) {
+	for k, p := range m.pending {
+		if wall >= p.s.Expiry && !p.direct && !p.inAnswer && p.limbo == 0 {
+			delete(m.pending, k)
+			m.dirty = true
+		}
+	}
+	for k, until := range m.refused {
+		if wall > until {
+			delete(m.refused, k)
+		}
+	}
+}
+
+// commands gathers what the worker is to do now.
+func (a *Agent) commands(m *machine, direct bool) []wire.Command {
+	now, wall := a.r.Now(), a.r.Wall()
+	out := []wire.Command{}
+	for k, q := range m.stops {
+		t := m.view.Find(k.task)
+		if now > q.until || t == nil || t.Attempt != k.attempt {
+			delete(m.stops, k)
+			continue
+		}
+		if q.s.Forget {
+			// Only a machine that shows our token has no older command in flight.
+			if t.State == wire.TaskExited && m.state == Held && !m.direct {
+				out = append(out, wire.Command{Op: wire.OpForget, Task: k.task, Attempt: k.attempt})
+			}
+			continue
+		}
+		if t.Active() && !(t.State == wire.TaskSaving && q.s.Grace > 0) {
+			g := float64(q.s.Grace) / 1e6
+			out = append(out, wire.Command{Op: wire.OpStop, Task: k.task, Attempt: k.attempt, GraceS: &g})
+		}
+	}
+	for i := range m.view.Tasks {
+		t := &m.view.Tasks[i]
+		j := a.job(t.Task)
+		if j == nil || !j.Final() {
+			continue
+		}
+		if t.Active() {
+			// Nobody has any use for what a withdrawn job's tasks still do.
+			zero := 0.0
+			out = append(out, wire.Command{Op: wire.OpStop, Task: t.Task, Attempt: t.Attempt, GraceS: &zero})
+		} else if m.state == Held && !m.direct && m.pending[key{t.Task, t.Attempt}] == nil {
+			out = append(out, wire.Command{Op: wire.OpForget, Task: t.Task, Attempt: t.Attempt})
+		}
+	}
+	if !a.h.MayStart() || wall < m.closeTo {
+		return out
+	}
+	for k, p := range m.pending {
+		if p.direct || p.limbo != 0 || wall >= p.s.Expiry {
+			continue
+		}
+		if j := a.job(k.task); j == nil || j.Final() {
+			continue
+		}
+		if direct {
+			p.direct = true
+		} else {
+			p.inAnswer = true
+		}
+		out = append(out, wire.Command{Op: wire.OpStart, Task: k.task, Attempt: k.attempt})
+	}
+	return out
+}
+
+func (a *Agent) job(task string) *job.Job {
+	id, _, _ := SplitTask(task)
+	return a.h.Job(id)
+}
+
+// touch renews what others see of the machine.
+func (a *Agent) touch(m *machine) {
+	now := a.r.Now()
+	v := &m.view
+	closed := a.r.Wall() < m.closeTo
+	if closed != v.Closed || len(v.Pending) != len(m.pending) {
+		m.dirty = true
+	}
+	old := a.views[v.Name]
+	if old == nil || old.Settled != v.Settled || old.Host != v.Host {
+		m.dirty = true
+	}
+	v.Closed = closed
+	v.Rev++
+	v.Pending = v.Pending[:0:0]
+	for k := range m.pending {
+		v.Pending = append(v.Pending, Task{Task: k.task, Attempt: k.attempt})
+	}
+	c := *v
+	a.views[v.Name] = &c
+	if m.dirty || now-m.sent > 2*loop.Second {
+		m.dirty, m.sent = false, now
+		a.h.Publish([]*View{&c})
+	}
+	a.h.Changed(&c)
+}
+
+// Learn takes in a view of a machine that reports to another node.
+func (a *Agent) Learn(v *View) {
+	if a.gone[v.Name] || v.Host == a.h.Label || !v.newer(a.views[v.Name]) {
+		return
+	}
+	if m := a.hosted[v.Name]; m != nil {
+		a.setState(m, Elsewhere)
+		delete(a.hosted, v.Name)
+	}
+	a.views[v.Name] = v
+	a.h.Changed(v)
+}
+
+// Republish hands all hosted machines' views out, as after a peer came back.
+func (a *Agent) Republish() {
+	var all []*View
+	for _, m := range a.hosted {
+		if v := a.views[m.view.Name]; v != nil {
+			all = append(all, v)
+		}
+	}
+	a.h.Publish(all)
+}
+
+// Start takes on an owner's start, or drops it and says so.
+func (a *Agent) Start(s Start) {
+	m := a.hosted[s.Machine]
+	k := key{s.Task, s.Attempt}
+	wall := a.r.Wall()
+	drop := func(why string) {
+		if m != nil {
+			m.refused[k] = s.Expiry + a.h.ClockTo
+		}
+		a.h.Drop(s.From, Drop{s.Machine, s.Task, s.Attempt, why})
+	}
+	if m == nil {
+		return // the owner hears of the new host and sends it there, until the start expires
+	}
+	if t := m.view.Find(s.Task); (t != nil && t.Attempt == s.Attempt) || m.pending[k] != nil {
+		return
+	}
+	if _, was := m.refused[k]; was {
+		drop("dropped before")
+		return
+	}
+	j := a.job(s.Task)
+	typ, known := a.h.Type(m.view.Type)
+	switch {
+	case wall >= s.Expiry:
+		drop("too old")
+	case s.Session != m.view.Session:
+		drop("another session")
+	case wall < m.closeTo:
+		drop("closed")
+	case m.view.NoticeAt != 0:
+		drop("notice")
+	case j == nil || j.Final() || !known:
+		drop("unknown")
+	case !a.h.MayStart():
+		drop("no state contact")
+	default:
+		room, ok := Free(&m.view, typ, a.spec)
+		if !ok || !room.Fits(j.Spec) {
+			drop("full")
+			return
+		}
+		m.pending[k] = &pending{s: s}
+		m.dirty = true
+		a.touch(m)
+		a.flushSoon(m)
+	}
+}
+
+// Stop takes on a stop or a forget of a task on a hosted machine.
+func (a *Agent) Stop(s Stop) {
+	m := a.hosted[s.Machine]
+	if m == nil {
+		return
+	}
+	k := key{s.Task, s.Attempt}
+	m.stops[k] = request{s, a.r.Now() + 5*loop.Second}
+	if !s.Forget {
+		a.flushSoon(m)
+	}
+}
+
+// Close keeps starts off a machine that the leader is about to delete.
+func (a *Agent) Close(name string, until loop.Micros) {
+	if m := a.hosted[name]; m != nil && until > m.closeTo {
+		m.closeTo = until
+		if !m.view.Closed {
+			m.dirty = true
+			a.touch(m)
+		}
+	}
+}
+
+func (a *Agent) flushSoon(m *machine) {
+	if m.flushing {
+		return
+	}
+	m.flushing = true
+	a.r.After(4*loop.Millisecond, func() {
+		m.flushing = false
+		a.flush(m)
+	})
+}
+
+// flush sends commands straight to the worker. It does so only under a token that
+// the worker has shown: then no other node can give commands without this one seeing it.
+func (a *Agent) flush(m *machine) {
+	if a.hosted[m.view.Name] != m || m.state != Held || m.direct {
+		return
+	}
+	if ok, _ := a.h.MayAnswer(); !ok {
+		return
+	}
+	cmds := a.commands(m, true)
+	if len(cmds) == 0 {
+		return
+	}
+	m.direct = true
+	token, session, addr := m.token, m.view.Session, m.view.Addr
+	a.r.Go(func() {
+		resp := a.direct(addr, wire.Commands{Token: token, Session: session, Commands: cmds}, 1500*time.Millisecond)
+		a.r.Post(func() { a.directDone(m, token, resp) })
+	})
+}
+
+func (a *Agent) directDone(m *machine, token uint64, resp store.Response) {
+	m.direct = false
+	var r wire.Report
+	sure := resp.Err == nil && (resp.Status == 200 || resp.Status == 409) && wire.Unmarshal(resp.Body, &r) == nil
+	for k, p := range m.pending {
+		if !p.direct {
+			continue
+		}
+		p.direct = false
+		if !sure {
+			p.limbo = token + 1
+		}
+		_ = k
+	}
+	if a.hosted[m.view.Name] != m {
+		return
+	}
+	if !sure {
+		// It may land minutes later. A higher token shuts it out, once the
+		// worker shows that it has seen it.
+		a.log.Debug("direct command unanswered", "machine", m.view.Name, "err", resp.Err, "status", resp.Status)
+		if m.token == token {
+			m.token++
+		}
+		a.setState(m, Taking)
+		a.touch(m)
+		return
+	}
+	if r.Machine == m.view.Name && (r.Session > m.view.Session || (r.Session == m.view.Session && r.Seq > m.view.Seq)) {
+		a.take(m, r, false)
+		a.touch(m)
+	}
+	if m.state == Held {
+		for _, p := range m.pending {
+			if !p.inAnswer {
+				a.flushSoon(m)
+				break
+			}
+		}
+	}
+}
+
+func (a *Agent) tick() {
+	wall := a.r.Wall()
+	for _, m := range a.hosted {
+		a.expire(m, wall)
+		if m.view.Closed != (wall < m.closeTo) {
+			m.dirty = true
+			a.touch(m)
+		}
+	}
+}
+
+// Gone takes in that a machine was deleted, with everything that was on it.
+func (a *Agent) Gone(name string) {
+	if a.gone[name] {
+		return
+	}
+	a.gone[name] = true
+	delete(a.hosted, name)
+	delete(a.views, name)
+}
+
+// IsGone tells whether the machine is known to be deleted.
+func (a *Agent) IsGone(name string) bool { return a.gone[name] }
+
+// View is the newest view of a machine, nil if it was never heard.
+func (a *Agent) View(name string) *View { return a.views[name] }
+
+// Views calls f for every machine heard and not gone.
+func (a *Agent) Views(f func(*View)) {
+	for _, v := range a.views {
+		f(v)
+	}
+}
+
+// Hosted is the number of machines that report here.
+func (a *Agent) Hosted() int { return len(a.hosted) }
--- /dev/null
+++ b/internal/agent/view.go
@@ -0,0 +1,166 @@
+// Package agent stands for the machines: it answers the reports of those whose
+// newest report came to this node, passes starts on to them, and keeps the
+// newest view of every machine, its own or another node's.
+package agent
+
+import (
+	"strconv"
+	"strings"
+
+	"cleatpick/internal/job"
+	"cleatpick/internal/loop"
+	"cleatpick/internal/wire"
+)
+
+// Task is a task on a machine, or a start on its way there.
+type Task struct {
+	Task    string `cbor:"1,keyasint"`
+	Attempt uint64 `cbor:"2,keyasint"`
+	State   string `cbor:"3,keyasint,omitempty"`
+	Why     string `cbor:"4,keyasint,omitempty"`
+	Saved   bool   `cbor:"5,keyasint,omitempty"`
+}
+
+// Active tells whether the task holds room on its machine.
+func (t *Task) Active() bool { return t.State != wire.TaskExited }
+
+// View is a machine as its host saw it last.
+type View struct {
+	Name     string      `cbor:"1,keyasint"`
+	Addr     string      `cbor:"2,keyasint"`
+	Type     string      `cbor:"3,keyasint"`
+	Zone     string      `cbor:"4,keyasint"`
+	Spot     bool        `cbor:"5,keyasint"`
+	Host     string      `cbor:"6,keyasint"`
+	Session  uint64      `cbor:"7,keyasint"`
+	Seq      uint64      `cbor:"8,keyasint"`
+	Rev      uint64      `cbor:"9,keyasint"`
+	Settled  bool        `cbor:"10,keyasint"` // no command of an earlier host or token can still be carried out
+	At       loop.Micros `cbor:"11,keyasint"` // time of day at which the newest report came
+	NoticeAt loop.Micros `cbor:"12,keyasint,omitempty"`
+	Closed   bool        `cbor:"13,keyasint,omitempty"` // takes no starts, since it is to be deleted
+	Tasks    []Task      `cbor:"14,keyasint,omitempty"`
+	Pending  []Task      `cbor:"15,keyasint,omitempty"` // starts that may still be carried out
+}
+
+// newer tells whether v says more than old about the same machine.
+func (v *View) newer(old *View) bool {
+	if old == nil {
+		return true
+	}
+	if v.Session != old.Session {
+		return v.Session > old.Session
+	}
+	if v.Seq != old.Seq {
+		return v.Seq > old.Seq
+	}
+	return v.Host == old.Host && v.Rev > old.Rev
+}
+
+// Find looks for a task on the machine.
+func (v *View) Find(task string) *Task {
+	for i := range v.Tasks {
+		if v.Tasks[i].Task == task {
+			return &v.Tasks[i]
+		}
+	}
+	return nil
+}
+
+// Holds tells whether a start of this attempt may still be carried out.
+func (v *View) Holds(task string, attempt uint64) bool {
+	for i := range v.Pending {
+		if v.Pending[i].Task == task && v.Pending[i].Attempt == attempt {
+			return true
+		}
+	}
+	return false
+}
+
+// Start is an owner's order to run a recorded attempt on a machine.
+type Start struct {
+	Machine string      `cbor:"1,keyasint"`
+	Session uint64      `cbor:"2,keyasint"`
+	Task    string      `cbor:"3,keyasint"`
+	Attempt uint64      `cbor:"4,keyasint"`
+	Expiry  loop.Micros `cbor:"5,keyasint"` // time of day after which nobody may carry it out
+	From    string      `cbor:"6,keyasint"`
+}
+
+// Stop asks for a task to be stopped, with time to save or without.
+type Stop struct {
+	Machine string      `cbor:"1,keyasint"`
+	Task    string      `cbor:"2,keyasint"`
+	Attempt uint64      `cbor:"3,keyasint"`
+	Grace   loop.Micros `cbor:"4,keyasint,omitempty"`
+	Forget  bool        `cbor:"5,keyasint,omitempty"` // forget instead: its result is recorded
+}
+
+// Drop tells an owner that its start was not and will never be passed on by this host.
+type Drop struct {
+	Machine string `cbor:"1,keyasint"`
+	Task    string `cbor:"2,keyasint"`
+	Attempt uint64 `cbor:"3,keyasint"`
+	Why     string `cbor:"4,keyasint"`
+}
+
+// SplitTask takes a task's name apart.
+func SplitTask(task string) (id string, index int, ok bool) {
+	i := strings.LastIndexByte(task, '/')
+	if i < 0 {
+		return "", 0, false
+	}
+	n, err := strconv.Atoi(task[i+1:])
+	if err != nil || n < 0 {
+		return "", 0, false
+	}
+	return task[:i], n, true
+}
+
+// TaskName puts a task's name together.
+func TaskName(id string, index int) string { return id + "/" + strconv.Itoa(index) }
+
+// Room is what is free on a machine.
+type Room struct{ CPUs, GPUs, MemoryGB float64 }
+
+const tiny = 1e-6
+
+// Fits tells whether a task of the job fits into the room.
+func (r *Room) Fits(s *job.Spec) bool {
+	return s.CPUs <= r.CPUs+tiny && s.GPUs <= r.GPUs+tiny && s.MemoryGB <= r.MemoryGB+tiny
+}
+
+// Take takes a task's share away.
+func (r *Room) Take(s *job.Spec) {
+	r.CPUs -= s.CPUs
+	r.GPUs -= s.GPUs
+	r.MemoryGB -= s.MemoryGB
+}
+
+// Free is the room left on a machine; ok is false where something runs whose
+// size is not known here, so that nothing may be placed.
+func Free(v *View, t wire.MachineType, spec func(task string) *job.Spec) (Room, bool) {
+	room := Room{t.CPUs, t.GPUs, t.MemoryGB}
+	for i := range v.Tasks {
+		if !v.Tasks[i].Active() {
+			continue
+		}
+		s := spec(v.Tasks[i].Task)
+		if s == nil {
+			return Room{}, false
+		}
+		room.Take(s)
+	}
+	for i := range v.Pending {
+		p := &v.Pending[i]
+		if t := v.Find(p.Task); t != nil && t.Attempt == p.Attempt {
+			continue
+		}
+		s := spec(p.Task)
+		if s == nil {
+			return Room{}, false
+		}
+		room.Take(s)
+	}
+	return room, true
+}
--- /dev/null
+++ b/internal/agent/view_test.go
@@ -0,0 +1,27 @@
+package agent
+
+import "testing"
+
+// A report that was held back on its way must not replace a newer view, and a
+// new session outranks every sequence number of the one before.
+func TestNewerView(t *testing.T) {
+	v := func(session, seq, rev uint64, host string) *View {
+		return &View{Session: session, Seq: seq, Rev: rev, Host: host}
+	}
+	cases := []struct {
+		a, b *View
+		want bool
+	}{
+		{v(1, 5, 1, "a"), nil, true},
+		{v(1, 5, 1, "a"), v(1, 6, 1, "b"), false},
+		{v(2, 1, 1, "a"), v(1, 99, 1, "b"), true},
+		{v(1, 99, 9, "a"), v(2, 1, 1, "b"), false},
+		{v(1, 5, 2, "a"), v(1, 5, 1, "a"), true},
+		{v(1, 5, 2, "b"), v(1, 5, 1, "a"), false},
+	}
+	for i, c := range cases {
+		if got := c.a.newer(c.b); got != c.want {
+			t.Errorf("case %d: newer is %v, want %v", i, got, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/front/front.go
@@ -0,0 +1,267 @@
+// Package front is the adapter between HTTP and the slices: users, workers and
+// health checks come in here.
+package front
+
+import (
+	"log/slog"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"cleatpick/internal/agent"
+	"cleatpick/internal/config"
+	"cleatpick/internal/job"
+	"cleatpick/internal/loop"
+	"cleatpick/internal/wire"
+
+	"github.com/valyala/fasthttp"
+)
+
+const maxBody = 64 << 10
+
+// Node is what this slice needs of the node around it.
+type Node struct {
+	Healthy func() bool
+	// Ready tells whether users' requests can be decided now.
+	Ready  func() bool
+	Types  func() []wire.MachineType
+	Counts func(*job.Job) job.Counts
+	Book   *job.Book
+	Agent  *agent.Agent
+}
+
+// Front serves HTTP.
+type Front struct {
+	r   loop.Runner
+	log *slog.Logger
+	cfg *config.Config
+	n   Node
+	srv *fasthttp.Server
+}
+
+// New makes the server.
+func New(r loop.Runner, log *slog.Logger, cfg *config.Config, n Node) *Front {
+	f := &Front{r: r, log: log, cfg: cfg, n: n}
+	f.srv = &fasthttp.Server{
+		Handler:                       f.handle,
+		MaxRequestBodySize:            maxBody,
+		Concurrency:                   max(cfg.Cluster.Limits.MaxSockets*6/10, 16),
+		ReadBufferSize:                4096,
+		WriteBufferSize:               4096,
+		IdleTimeout:                   90 * time.Second,
+		ReadTimeout:                   60 * time.Second,
+		WriteTimeout:                  10 * time.Second,
+		NoDefaultServerHeader:         true,
+		NoDefaultDate:                 true,
+		NoDefaultContentType:          true,
+		DisableHeaderNamesNormalizing: false,
+		ReduceMemoryUsage:             true,
+		CloseOnShutdown:               true,
+		Logger:                        quiet{log},
+		ErrorHandler: func(ctx *fasthttp.RequestCtx, err error) {
+			// Oversized or broken: the rest of the stream cannot be trusted.
+			ctx.SetConnectionClose()
+			write(ctx, 400, wire.Error{Error: "malformed request"})
+		},
+	}
+	return f
+}
+
+type quiet struct{ log *slog.Logger }
+
+func (q quiet) Printf(format string, args ...any) { q.log.Debug("http", "what", format, "args", args) }
+
+// Serve works until the listener is closed.
+func (f *Front) Serve(ln net.Listener) error { return f.srv.Serve(ln) }
+
+func write(ctx *fasthttp.RequestCtx, status int, body any) {
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("application/cbor")
+	if body != nil {
+		ctx.SetBody(wire.Marshal(body))
+	}
+}
+
+// later tells a client at once when to come back.
+func later(ctx *fasthttp.RequestCtx, status, seconds int, why string) {
+	ctx.Response.Header.Set("Retry-After", strconv.Itoa(seconds))
+	write(ctx, status, wire.Error{Error: why})
+}
+
+func (f *Front) handle(ctx *fasthttp.RequestCtx) {
+	path := string(ctx.Path())
+	post, get := ctx.IsPost(), ctx.IsGet()
+	switch {
+	case path == "/healthz" && get:
+		ok := ask(f, func(done func(bool)) { done(f.n.Healthy()) })
+		if ok != nil && *ok {
+			write(ctx, 200, map[string]bool{"ok": true})
+		} else {
+			later(ctx, 503, 1, "not ready")
+		}
+	case path == "/agent/beat" && post:
+		f.beat(ctx)
+	case path == "/work" && post:
+		f.submit(ctx)
+	case strings.HasPrefix(path, "/work/"):
+		id := strings.TrimPrefix(path, "/work/")
+		if base, ok := strings.CutSuffix(id, "/withdraw"); ok && post {
+			f.withdraw(ctx, base)
+		} else if get {
+			f.poll(ctx, id)
+		} else {
+			write(ctx, 405, wire.Error{Error: "method not allowed"})
+		}
+	default:
+		write(ctx, 404, wire.Error{Error: "no such path"})
+	}
+}
+
+// ask runs f on the loop and waits for its answer; nil when none came in time.
+func ask[T any](f *Front, run func(done func(T))) *T {
+	ch := make(chan T, 1)
+	f.r.Post(func() {
+		run(func(v T) {
+			select {
+			case ch <- v:
+			default:
+			}
+		})
+	})
+	t := time.NewTimer(3 * time.Second)
+	defer t.Stop()
+	select {
+	case v := <-ch:
+		return &v
+	case <-t.C:
+		return nil
+	}
+}
+
+func (f *Front) beat(ctx *fasthttp.RequestCtx) {
+	var r wire.Report
+	body := ctx.PostBody()
+	if !wire.IsMap(body) || wire.Unmarshal(body, &r) != nil || r.Machine == "" || r.Session == 0 || r.Type == "" || r.Zone == "" {
+		write(ctx, 400, wire.Error{Error: "malformed report"})
+		return
+	}
+	a := ask(f, func(done func(agent.Answer)) { f.n.Agent.Beat(r, done) })
+	if a == nil {
+		later(ctx, 503, 1, "no answer")
+		return
+	}
+	write(ctx, a.Status, a.Body)
+}
+
+type verdict struct {
+	status int // 0: see answer
+	why    string
+	a      job.Answer
+	counts job.Counts
+}
+
+func (f *Front) reply(ctx *fasthttp.RequestCtx, v *verdict) {
+	switch {
+	case v == nil:
+		later(ctx, 503, 1, "no answer")
+	case v.status == 503 || v.status == 429:
+		later(ctx, v.status, 1, v.why)
+	case v.status != 0:
+		write(ctx, v.status, wire.Error{Error: v.why})
+	case v.a.Code == 200 || v.a.Code == 201:
+		write(ctx, v.a.Code, standing(v.a, v.counts))
+	case v.a.Code == 404:
+		write(ctx, 404, wire.Error{Error: "no such job"})
+	default:
+		later(ctx, v.a.Code, 1, "state service does not answer")
+	}
+}
+
+func standing(a job.Answer, c job.Counts) wire.Standing {
+	s := wire.Standing{ID: a.ID, Done: c.Done, Running: c.Running}
+	switch a.Phase {
+	case job.Done:
+		s.State, s.Done, s.Running = wire.JobDone, int64(a.Tasks), 0
+	case job.Withdrawn:
+		s.State, s.Running = wire.JobCancelled, 0
+	default:
+		s.State = wire.JobQueued
+		if c.Running > 0 {
+			s.State = wire.JobRunning
+		}
+	}
+	return s
+}
+
+// settle adds the counts for display to an answer.
+func (f *Front) settle(done func(verdict)) func(job.Answer) {
+	return func(a job.Answer) {
+		v := verdict{a: a}
+		if j := f.n.Book.Get(a.ID); j != nil {
+			v.counts = f.n.Counts(j)
+		}
+		done(v)
+	}
+}
+
+func (f *Front) submit(ctx *fasthttp.RequestCtx) {
+	id, spec, ok := job.Parse(ctx.PostBody())
+	if !ok {
+		write(ctx, 400, wire.Error{Error: "malformed submission"})
+		return
+	}
+	f.reply(ctx, ask(f, func(done func(verdict)) {
+		if !f.n.Ready() {
+			done(verdict{status: 503, why: "not ready"})
+			return
+		}
+		// A job that is known already is never refused, whatever it asks for.
+		if f.n.Book.Get(id) == nil {
+			types := f.n.Types()
+			if len(types) == 0 {
+				done(verdict{status: 503, why: "machine types not known yet"})
+				return
+			}
+			if !job.Runnable(spec, f.cfg, types) {
+				f.n.Book.Poll(id, func(a job.Answer) {
+					if a.Code == 404 {
+						done(verdict{status: 422, why: "can never run"})
+						return
+					}
+					f.settle(done)(a)
+				})
+				return
+			}
+		}
+		f.n.Book.Submit(id, spec, f.settle(done))
+	}))
+}
+
+func (f *Front) poll(ctx *fasthttp.RequestCtx, id string) {
+	if !job.ValidID(id) {
+		write(ctx, 404, wire.Error{Error: "no such job"})
+		return
+	}
+	f.reply(ctx, ask(f, func(done func(verdict)) {
+		if !f.n.Ready() {
+			done(verdict{status: 503, why: "not ready"})
+			return
+		}
+		f.n.Book.Poll(id, f.settle(done))
+	}))
+}
+
+func (f *Front) withdraw(ctx *fasthttp.RequestCtx, id string) {
+	if !job.ValidID(id) {
+		write(ctx, 404, wire.Error{Error: "no such job"})
+		return
+	}
+	f.reply(ctx, ask(f, func(done func(verdict)) {
+		if !f.n.Ready() {
+			done(verdict{status: 503, why: "not ready"})
+			return
+		}
+		f.n.Book.Withdraw(id, f.settle(done))
+	}))
+}
--- /dev/null
+++ b/internal/job/job.go
@@ -0,0 +1,518 @@
+// Package job keeps the durable record of every job and answers for its life:
+// accepted, done or withdrawn, each stored before anybody is told.
+package job
+
+import (
+	"log/slog"
+	"strings"
+
+	"cleatpick/internal/loop"
+	"cleatpick/internal/store"
+	"cleatpick/internal/wire"
+)
+
+// Keys is the prefix of the job records.
+const Keys = "c/j/"
+
+// Phase is where a job stands.
+type Phase string
+
+// The phases of a job. The last two are final.
+const (
+	Accepted  Phase = "p"
+	Done      Phase = "d"
+	Withdrawn Phase = "w"
+)
+
+// Priority orders jobs; higher goes first.
+type Priority int
+
+// The priorities.
+const (
+	Low Priority = iota
+	Normal
+	High
+	Production
+)
+
+// Spec is what a job's user asked for.
+type Spec struct {
+	Class      string   `cbor:"c"`
+	Team       string   `cbor:"t"`
+	Service    bool     `cbor:"sv,omitempty"`
+	Priority   Priority `cbor:"p"`
+	Tasks      int      `cbor:"n"`
+	CPUs       float64  `cbor:"cp"`
+	GPUs       float64  `cbor:"gp,omitempty"`
+	MemoryGB   float64  `cbor:"mg"`
+	Image      string   `cbor:"im"`
+	ImageGB    float64  `cbor:"ig"`
+	Types      []string `cbor:"ty,omitempty"`
+	AnyType    bool     `cbor:"at,omitempty"`
+	Zone       string   `cbor:"z,omitempty"`
+	OneZone    bool     `cbor:"oz,omitempty"`
+	Spread     bool     `cbor:"sc,omitempty"`
+	Spot       bool     `cbor:"sp,omitempty"`
+	Estimate   int64    `cbor:"es"` // microseconds, like all that follow
+	Checkpoint int64    `cbor:"ck,omitempty"`
+	Save       int64    `cbor:"sa,omitempty"`
+	Deadline   int64    `cbor:"dl,omitempty"` // after the submission; 0: none
+}
+
+// AllowsType tells whether the job may run on machines of this type.
+func (s *Spec) AllowsType(t string) bool {
+	if s.AnyType {
+		return true
+	}
+	for _, x := range s.Types {
+		if x == t {
+			return true
+		}
+	}
+	return false
+}
+
+// AllowsPlace tells whether the job may run on this type, zone and kind.
+func (s *Spec) AllowsPlace(typ, zone string, spot bool) bool {
+	return s.AllowsType(typ) && (s.Zone == "" || s.Zone == zone) && (s.Spot || !spot)
+}
+
+// Record is what the state service holds of a job. A job that is over keeps only its phase.
+type Record struct {
+	Phase Phase `cbor:"st"`
+	At    int64 `cbor:"at,omitempty"` // time of day of the acceptance
+	Spec  *Spec `cbor:"s,omitempty"`
+	Tasks int   `cbor:"n,omitempty"`
+}
+
+// Job is a job as known here.
+type Job struct {
+	ID    string
+	Mark  uint64
+	Phase Phase
+	At    int64
+	Spec  *Spec
+	Tasks int
+}
+
+// Final tells whether the job is over.
+func (j *Job) Final() bool { return j.Phase != Accepted }
+
+// Counts are a job's tasks for display.
+type Counts struct{ Done, Running int64 }
+
+// Answer is what a user is told.
+type Answer struct {
+	Code    int // 200, 201, 404, or 503: ask again
+	Phase   Phase
+	ID      string
+	Tasks   int
+	Created bool
+}
+
+type pendingCreate struct {
+	id   string
+	spec *Spec
+	cb   []func(Answer)
+	dead loop.Micros
+}
+
+type pendingCheck struct {
+	cb   []func(Answer)
+	dead loop.Micros
+}
+
+// Book holds all jobs known to this node.
+type Book struct {
+	r        loop.Runner
+	c        *store.Client
+	m        *store.Mirror
+	log      *slog.Logger
+	txnOps   int
+	jobs     map[string]*Job
+	bad      map[string]bool // records that cannot be read, set aside
+	creates  map[string]*pendingCreate
+	order    []string
+	creating bool
+	checks   map[string]*pendingCheck
+	corder   []string
+	checking int
+	// OnJob is called whenever a job's record is new or has changed.
+	OnJob func(*Job)
+}
+
+const (
+	maxWaiting = 600
+	// patience is how long a user waits here before being told to come back.
+	patience = 1500 * loop.Millisecond
+)
+
+// NewBook makes the book.
+func NewBook(r loop.Runner, c *store.Client, m *store.Mirror, log *slog.Logger, txnOps int) *Book {
+	b := &Book{r: r, c: c, m: m, log: log, txnOps: txnOps, jobs: map[string]*Job{}, bad: map[string]bool{},
+		creates: map[string]*pendingCreate{}, checks: map[string]*pendingCheck{}}
+	m.On(Keys, b.learn)
+	loop.Every(r, 250*loop.Millisecond, b.expire)
+	return b
+}
+
+// learn takes in a record from the mirror.
+func (b *Book) learn(key string, e store.Entry) {
+	id := strings.TrimPrefix(key, Keys)
+	if e.Mark == 0 {
+		return // job records are never removed
+	}
+	var rec Record
+	if err := wire.Unmarshal(e.Value, &rec); err != nil || !rec.sound() {
+		// A record that makes no sense is set aside: nothing is started on
+		// its account, and its users are asked to come back.
+		b.log.Error("corrupt record set aside", "key", key, "err", err)
+		b.bad[id] = true
+		return
+	}
+	delete(b.bad, id)
+	j := b.jobs[id]
+	if j == nil {
+		j = &Job{ID: id}
+		b.jobs[id] = j
+	}
+	j.Mark, j.Phase, j.At = e.Mark, rec.Phase, rec.At
+	if rec.Spec != nil {
+		j.Spec, j.Tasks = rec.Spec, rec.Spec.Tasks
+	} else {
+		j.Tasks = rec.Tasks
+	}
+	if b.OnJob != nil {
+		b.OnJob(j)
+	}
+}
+
+func (r *Record) sound() bool {
+	switch r.Phase {
+	case Accepted:
+		return r.Spec != nil && r.Spec.Tasks > 0 && r.Spec.CPUs >= 0 && r.Spec.Team != ""
+	case Done, Withdrawn:
+		return true
+	}
+	return false
+}
+
+// Get finds a job known here.
+func (b *Book) Get(id string) *Job { return b.jobs[id] }
+
+// Each calls f for every job known here.
+func (b *Book) Each(f func(*Job)) {
+	for _, j := range b.jobs {
+		f(j)
+	}
+}
+
+// Waiting is the number of users who wait for an answer.
+func (b *Book) Waiting() int { return len(b.creates) + len(b.checks) }
+
+func answer(j *Job, code int) Answer {
+	return Answer{Code: code, Phase: j.Phase, ID: j.ID, Tasks: j.Tasks}
+}
+
+// Submit stores a job unless it exists; cb gets 201 or 200, or 503.
+func (b *Book) Submit(id string, spec *Spec, cb func(Answer)) {
+	if b.bad[id] {
+		cb(Answer{Code: 503, ID: id})
+		return
+	}
+	if j := b.jobs[id]; j != nil {
+		b.check(id, cb)
+		return
+	}
+	if p := b.creates[id]; p != nil {
+		p.cb = append(p.cb, cb)
+		return
+	}
+	if len(b.creates) >= maxWaiting {
+		cb(Answer{Code: 429, ID: id})
+		return
+	}
+	b.creates[id] = &pendingCreate{id: id, spec: spec, cb: []func(Answer){cb}, dead: b.r.Now() + patience}
+	b.order = append(b.order, id)
+	b.pumpCreates()
+}
+
+func (b *Book) settleCreate(id string, a Answer) {
+	p := b.creates[id]
+	if p == nil {
+		return
+	}
+	delete(b.creates, id)
+	for i, cb := range p.cb {
+		if i > 0 && a.Code == 201 {
+			a.Code = 200
+		}
+		cb(a)
+	}
+}
+
+// pumpCreates stores waiting submissions, several in one transaction.
+func (b *Book) pumpCreates() {
+	if b.creating || len(b.order) == 0 {
+		return
+	}
+	var ids, later []string
+	var txn wire.Txn
+	recs := map[string]Record{}
+	size := 0
+	for _, id := range b.order {
+		p := b.creates[id]
+		if p == nil {
+			continue
+		}
+		if len(ids) >= min(8, b.txnOps) || size > 30000 {
+			later = append(later, id)
+			continue
+		}
+		rec := Record{Phase: Accepted, At: b.r.Wall(), Spec: p.spec}
+		size += 600 + len(wire.Marshal(rec))
+		recs[id] = rec
+		ids = append(ids, id)
+		txn.If = append(txn.If, wire.Cond{Key: Keys + id, Mark: 0})
+		txn.Then = append(txn.Then, wire.Change{Put: Keys + id, Value: rec})
+	}
+	b.order = later
+	if len(ids) == 0 {
+		return
+	}
+	b.creating = true
+	b.c.Txn(store.Answers, txn, func(r store.Result) {
+		b.creating = false
+		switch r.Outcome {
+		case store.Applied:
+			for _, id := range ids {
+				b.m.Apply(Keys+id, wire.Marshal(recs[id]), r.Tally, false)
+				if j := b.jobs[id]; j != nil {
+					b.settleCreate(id, answer(j, 201))
+				}
+			}
+		case store.Conflict:
+			failed := map[string]bool{}
+			for _, k := range r.Failed {
+				failed[strings.TrimPrefix(k, Keys)] = true
+			}
+			for _, id := range ids {
+				if failed[id] {
+					b.fetch(id, func(a Answer) { b.settleCreate(id, a) })
+				} else if b.creates[id] != nil {
+					b.order = append(b.order, id)
+				}
+			}
+		default:
+			// Refused or unknown: the same creation may be tried again, since
+			// it is conditioned on the job's absence.
+			b.order = append(ids, b.order...)
+			b.r.After(100*loop.Millisecond, b.pumpCreates)
+			return
+		}
+		b.pumpCreates()
+	})
+}
+
+// fetch asks the store itself for a job.
+func (b *Book) fetch(id string, cb func(Answer)) {
+	b.c.Get(store.Answers, Keys+id, func(it wire.Item, found, ok bool) {
+		switch {
+		case !ok:
+			cb(Answer{Code: 503, ID: id})
+		case !found:
+			cb(Answer{Code: 404, ID: id})
+		default:
+			b.m.Apply(it.Key, it.Value, it.Mark, false)
+			if j := b.jobs[id]; j != nil && !b.bad[id] {
+				cb(answer(j, 200))
+			} else {
+				cb(Answer{Code: 503, ID: id})
+			}
+		}
+	})
+}
+
+// Poll answers for a job's state; anything that is not final is confirmed with the store.
+func (b *Book) Poll(id string, cb func(Answer)) {
+	if b.bad[id] {
+		cb(Answer{Code: 503, ID: id})
+		return
+	}
+	if j := b.jobs[id]; j != nil && j.Final() {
+		cb(answer(j, 200))
+		return
+	}
+	b.check(id, cb)
+}
+
+// check confirms with the store that what is known here is the newest.
+func (b *Book) check(id string, cb func(Answer)) {
+	if j := b.jobs[id]; j != nil && j.Final() {
+		cb(answer(j, 200))
+		return
+	}
+	if p := b.checks[id]; p != nil {
+		p.cb = append(p.cb, cb)
+		return
+	}
+	if len(b.checks) >= maxWaiting {
+		cb(Answer{Code: 429, ID: id})
+		return
+	}
+	b.checks[id] = &pendingCheck{cb: []func(Answer){cb}, dead: b.r.Now() + patience}
+	b.corder = append(b.corder, id)
+	b.pumpChecks()
+}
+
+func (b *Book) settleCheck(id string, a Answer) {
+	p := b.checks[id]
+	if p == nil {
+		return
+	}
+	delete(b.checks, id)
+	for _, cb := range p.cb {
+		cb(a)
+	}
+}
+
+// pumpChecks compares many jobs' versions in one transaction that changes nothing.
+func (b *Book) pumpChecks() {
+	if b.checking > 0 || len(b.corder) == 0 {
+		return
+	}
+	limit := b.txnOps * 4
+	var ids, later []string
+	var txn wire.Txn
+	marks := map[string]uint64{}
+	for _, id := range b.corder {
+		if b.checks[id] == nil {
+			continue
+		}
+		if len(ids) >= limit {
+			later = append(later, id)
+			continue
+		}
+		var mark uint64
+		if j := b.jobs[id]; j != nil {
+			mark = j.Mark
+		}
+		ids = append(ids, id)
+		marks[id] = mark
+		txn.If = append(txn.If, wire.Cond{Key: Keys + id, Mark: mark})
+	}
+	b.corder = later
+	if len(ids) == 0 {
+		return
+	}
+	b.checking++
+	b.c.Txn(store.Answers, txn, func(r store.Result) {
+		wait := loop.Micros(60 * loop.Millisecond)
+		switch r.Outcome {
+		case store.Applied, store.Conflict:
+			failed := map[string]bool{}
+			for _, k := range r.Failed {
+				failed[strings.TrimPrefix(k, Keys)] = true
+			}
+			for _, id := range ids {
+				switch {
+				case failed[id]:
+					b.fetch(id, func(a Answer) { b.settleCheck(id, a) })
+				case marks[id] == 0:
+					b.settleCheck(id, Answer{Code: 404, ID: id})
+				default:
+					b.settleCheck(id, answer(b.jobs[id], 200))
+				}
+			}
+		default:
+			b.corder = append(ids, b.corder...)
+			wait = 150 * loop.Millisecond
+		}
+		b.r.After(wait, func() {
+			b.checking--
+			b.pumpChecks()
+		})
+	})
+}
+
+// expire gives up requests that waited too long: their users are told to come back.
+func (b *Book) expire() {
+	now := b.r.Now()
+	for id, p := range b.creates {
+		if now >= p.dead {
+			b.settleCreate(id, Answer{Code: 503, ID: id})
+		}
+	}
+	for id, p := range b.checks {
+		if now >= p.dead {
+			b.settleCheck(id, Answer{Code: 503, ID: id})
+		}
+	}
+}
+
+// Withdraw stores a cancellation unless the job is done; cb gets the final state, 404 or 503.
+func (b *Book) Withdraw(id string, cb func(Answer)) {
+	if b.bad[id] {
+		cb(Answer{Code: 503, ID: id})
+		return
+	}
+	dead := b.r.Now() + patience
+	var try func()
+	try = func() {
+		j := b.jobs[id]
+		if j == nil {
+			b.fetch(id, func(a Answer) {
+				if a.Code == 200 {
+					try()
+					return
+				}
+				cb(a)
+			})
+			return
+		}
+		if j.Final() {
+			cb(answer(j, 200))
+			return
+		}
+		if b.r.Now() >= dead {
+			cb(Answer{Code: 503, ID: id})
+			return
+		}
+		rec := Record{Phase: Withdrawn, At: j.At, Spec: j.Spec}
+		b.c.Txn(store.Answers, wire.Txn{If: []wire.Cond{{Key: Keys + id, Mark: j.Mark}},
+			Then: []wire.Change{{Put: Keys + id, Value: rec}}}, func(r store.Result) {
+			switch r.Outcome {
+			case store.Applied:
+				b.m.Apply(Keys+id, wire.Marshal(rec), r.Tally, false)
+				cb(answer(b.jobs[id], 200))
+			case store.Conflict:
+				b.fetch(id, func(a Answer) {
+					if a.Code == 200 {
+						try()
+						return
+					}
+					cb(Answer{Code: 503, ID: id})
+				})
+			default:
+				b.r.After(120*loop.Millisecond, try)
+			}
+		})
+	}
+	try()
+}
+
+// DoneChange is the change that makes a job done; it goes with DoneCond.
+func DoneChange(j *Job) wire.Change {
+	return wire.Change{Put: Keys + j.ID, Value: Record{Phase: Done, At: j.At, Spec: j.Spec}}
+}
+
+// Cond is the condition that the job is as known here.
+func Cond(j *Job) wire.Cond { return wire.Cond{Key: Keys + j.ID, Mark: j.Mark} }
+
+// Learn takes in a record that a transaction of this node has stored.
+func (b *Book) Learn(ch wire.Change, tally uint64) {
+	b.m.Apply(ch.Put, wire.Marshal(ch.Value), tally, false)
+}
+
+// Refresh reads a job again after a transaction showed that the copy here is old.
+func (b *Book) Refresh(id string) { b.fetch(id, func(Answer) {}) }
--- /dev/null
+++ b/internal/job/validate.go
@@ -0,0 +1,102 @@
+package job
+
+import (
+	"math"
+	"strings"
+
+	"cleatpick/internal/config"
+	"cleatpick/internal/loop"
+	"cleatpick/internal/wire"
+)
+
+const maxTasks = 100000
+
+var priorities = map[string]Priority{"critical": Production, "high": High, "standard": Normal, "low": Low}
+
+// ValidID tells whether an id has the form that all job ids have.
+func ValidID(id string) bool {
+	digits, ok := strings.CutPrefix(id, "job-")
+	if !ok || digits == "" || len(id) > 64 {
+		return false
+	}
+	for _, c := range digits {
+		if c < '0' || c > '9' {
+			return false
+		}
+	}
+	return true
+}
+
+// Parse reads a submission; ok is false when it is malformed.
+func Parse(body []byte) (id string, s *Spec, ok bool) {
+	var w wire.Work
+	if !wire.IsMap(body) || wire.Unmarshal(body, &w) != nil {
+		return "", nil, false
+	}
+	name := func(p *string) bool { return p != nil && *p != "" && len(*p) <= 100 }
+	num := func(p *float64) bool { return p != nil && *p >= 0 && *p <= 1e9 && !math.IsNaN(*p) }
+	optional := func(p *float64) bool { return p == nil || num(p) }
+	if w.ID == nil || !ValidID(*w.ID) || !name(w.Class) || !name(w.Team) || w.Kind == nil || w.Priority == nil ||
+		w.Tasks == nil || *w.Tasks < 1 || *w.Tasks > maxTasks || !num(w.CPUs) || !num(w.MemoryGB) || !num(w.GPUs) ||
+		!name(w.Image) || !num(w.ImageGB) || !num(w.EstimateS) || !num(w.CheckpntS) || !num(w.SaveS) ||
+		!optional(w.DeadlineS) || w.OneZone == nil || w.Spread == nil || w.Spot == nil || len(w.Types) > 200 {
+		return "", nil, false
+	}
+	p, known := priorities[*w.Priority]
+	if !known || (*w.Kind != wire.KindArray && *w.Kind != wire.KindService) {
+		return "", nil, false
+	}
+	for _, t := range w.Types {
+		if t == "" || len(t) > 100 {
+			return "", nil, false
+		}
+	}
+	if w.Zone != nil && (*w.Zone == "" || len(*w.Zone) > 100) {
+		return "", nil, false
+	}
+	opt := func(p *float64) float64 {
+		if p == nil {
+			return 0
+		}
+		return *p
+	}
+	s = &Spec{Class: *w.Class, Team: *w.Team, Service: *w.Kind == wire.KindService, Priority: p, Tasks: int(*w.Tasks),
+		CPUs: *w.CPUs, GPUs: *w.GPUs, MemoryGB: *w.MemoryGB, Image: *w.Image, ImageGB: *w.ImageGB,
+		Types: w.Types, AnyType: w.Types == nil, OneZone: *w.OneZone, Spread: *w.Spread, Spot: *w.Spot,
+		Estimate: loop.Seconds(*w.EstimateS), Checkpoint: loop.Seconds(*w.CheckpntS), Save: loop.Seconds(*w.SaveS),
+		Deadline: loop.Seconds(opt(w.DeadlineS))}
+	if w.Zone != nil {
+		s.Zone = *w.Zone
+	}
+	return *w.ID, s, true
+}
+
+// Runnable tells whether the job could ever run: its team is known, a task fits
+// an allowed machine type, and the team's limit leaves room for it.
+func Runnable(s *Spec, c *config.Config, types []wire.MachineType) bool {
+	team, ok := c.TeamNamed(s.Team)
+	if !ok {
+		return false
+	}
+	n := 1.0
+	if s.Service {
+		n = float64(s.Tasks)
+	}
+	if s.CPUs*n > team.CPUsMax+1e-9 || s.GPUs*n > team.GPUsMax+1e-9 {
+		return false
+	}
+	for _, t := range types {
+		if !s.AllowsType(t.Name) || s.CPUs > t.CPUs || s.GPUs > t.GPUs || s.MemoryGB > t.MemoryGB {
+			continue
+		}
+		if s.Zone == "" {
+			return true
+		}
+		for _, z := range t.Zones {
+			if z == s.Zone {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,352 @@
+// Package node wires the slices of one controller together.
+package node
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"time"
+
+	"cleatpick/internal/agent"
+	"cleatpick/internal/config"
+	"cleatpick/internal/front"
+	"cleatpick/internal/job"
+	"cleatpick/internal/loop"
+	"cleatpick/internal/member"
+	"cleatpick/internal/peer"
+	"cleatpick/internal/placer"
+	"cleatpick/internal/rental"
+	"cleatpick/internal/store"
+	"cleatpick/internal/wire"
+
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+)
+
+// Node is one controller.
+type Node struct {
+	cfg      *config.Config
+	log      *slog.Logger
+	loop     *loop.Loop
+	client   *store.Client
+	mirror   *store.Mirror
+	member   *member.Member
+	book     *job.Book
+	agent    *agent.Agent
+	placer   *placer.Placer
+	rental   *rental.Rental
+	net      *peer.Net
+	front    *front.Front
+	workers  *fasthttp.Client
+	progress map[string]job.Counts
+}
+
+// New wires a node; Run works it.
+func New(cfg *config.Config, log *slog.Logger) *Node {
+	n := &Node{cfg: cfg, log: log, loop: loop.New(), progress: map[string]job.Counts{}}
+	l := n.loop
+	nodes := max(cfg.Cluster.Nodes, 1)
+	n.client = store.NewClient(l, store.NewDoer(cfg.Outside.State, 32), log, cfg.Cluster.State.RPS, cfg.Cluster.State.WriteRPS, nodes)
+	n.mirror = store.NewMirror(n.client, store.NewDoer(cfg.Outside.State, 4), member.Prefix)
+	var teams []string
+	for _, t := range cfg.Cluster.Teams {
+		teams = append(teams, t.Name)
+	}
+	n.member = member.New(l, n.client, n.mirror, log, cfg.Label, teams, loop.Seconds(cfg.Operator.NodeLeaseS))
+	n.book = job.NewBook(l, n.client, n.mirror, log, cfg.Cluster.State.TxnOps)
+	n.net = peer.New(l, log, cfg.Label, cfg.Known)
+	n.workers = &fasthttp.Client{
+		MaxConnsPerHost:               2,
+		MaxIdleConnDuration:           20 * time.Second,
+		NoDefaultUserAgentHeader:      true,
+		DisablePathNormalizing:        true,
+		MaxIdemponentCallAttempts:     1,
+		MaxResponseBodySize:           256 << 10,
+		ReadBufferSize:                4096,
+		WriteBufferSize:               4096,
+		RetryIfErr:                    func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		Dial:                          func(a string) (net.Conn, error) { return fasthttp.DialTimeout(a, time.Second) },
+		DisableHeaderNamesNormalizing: true,
+	}
+	n.agent = agent.New(l, log, agent.Host{
+		Label:     cfg.Label,
+		MayAnswer: n.mayAnswer,
+		MayStart:  n.mayStart,
+		Epoch:     n.member.Epoch,
+		Raise:     n.member.RaiseEpoch,
+		Type:      func(name string) (wire.MachineType, bool) { return n.rental.Type(name) },
+		Job:       n.book.Get,
+		Publish: func(v []*agent.View) {
+			n.net.All(func(e *peer.Envelope) { e.Views = append(e.Views, v...) })
+		},
+		Changed: func(v *agent.View) {
+			n.placer.View(v)
+			n.rental.View(v)
+		},
+		Drop: func(to string, d agent.Drop) {
+			if to == cfg.Label {
+				l.Post(func() { n.placer.Drop(cfg.Label, d) })
+				return
+			}
+			n.net.To(to, func(e *peer.Envelope) { e.Drops = append(e.Drops, d) })
+		},
+		ClockTo: loop.Micros(cfg.Cluster.ClockOffMS * 2000),
+		ReportS: loop.Seconds(cfg.Cluster.Workers.ReportS),
+	}, n.commands)
+	n.placer = placer.New(l, n.client, log, cfg, placer.Node{
+		Label: cfg.Label,
+		Type:  func(name string) (wire.MachineType, bool) { return n.rental.Type(name) },
+		Start: func(host string, s agent.Start) {
+			if host == cfg.Label {
+				n.agent.Start(s)
+				return
+			}
+			n.net.To(host, func(e *peer.Envelope) { e.Starts = append(e.Starts, s) })
+		},
+		Stop: func(host string, s agent.Stop) {
+			if host == cfg.Label {
+				n.agent.Stop(s)
+				return
+			}
+			n.net.To(host, func(e *peer.Envelope) { e.Stops = append(e.Stops, s) })
+		},
+		Tally: func(t peer.Tally) {
+			o, ok := n.member.Leader()
+			if !ok {
+				return
+			}
+			if o.Node == cfg.Label {
+				n.rental.Tally(cfg.Label, t)
+				return
+			}
+			n.net.To(o.Node, func(e *peer.Envelope) { e.Tally = &t })
+		},
+		Tell: func(p []peer.Progress) {
+			n.net.All(func(e *peer.Envelope) { e.Progress = append(e.Progress, p...) })
+		},
+		Usage: func(u []peer.Usage) {
+			n.placer.Learn(u)
+			n.net.All(func(e *peer.Envelope) { e.Usage = u })
+		},
+	}, n.book, n.agent)
+	n.rental = rental.New(l, log, cfg, n.client, n.mirror, store.NewDoer(cfg.Outside.Cloud, 4), n.agent, rental.Node{
+		Label: cfg.Label,
+		Epoch: n.member.Epoch,
+		Close: func(host string, c peer.Close) {
+			if host == cfg.Label {
+				n.agent.Close(c.Machine, c.Until)
+				return
+			}
+			n.net.To(host, func(e *peer.Envelope) { e.Closes = append(e.Closes, c) })
+		},
+		PeersUp: func() bool {
+			for _, label := range n.net.Peers() {
+				if l.Now()-n.net.Known(label).Heard > 3*loop.Second {
+					return false
+				}
+			}
+			return true
+		},
+		Faulty: n.placer.Faulty,
+		Probe:  n.probe,
+	})
+	n.rental.OnGone = n.placer.Gone
+	n.book.OnJob = func(j *job.Job) {
+		if j.Final() {
+			delete(n.progress, j.ID)
+		}
+		n.placer.Job(j)
+	}
+	n.member.OnOwned = n.placer.Owned
+	n.member.OnLeader = n.rental.Lead
+	n.net.Receive = n.receive
+	n.net.Up = func(string) { n.agent.Republish() }
+	n.front = front.New(l, log, cfg, front.Node{
+		Healthy: n.healthy,
+		Ready:   n.ready,
+		Types:   n.rental.Types,
+		Book:    n.book,
+		Agent:   n.agent,
+		Counts: func(j *job.Job) job.Counts {
+			if c, ok := n.placer.Counts(j); ok {
+				return c
+			}
+			return n.progress[j.ID]
+		},
+	})
+	return n
+}
+
+// receive takes in a frame of a peer.
+func (n *Node) receive(e *peer.Envelope) {
+	for _, v := range e.Views {
+		if v != nil && v.Name != "" {
+			n.agent.Learn(v)
+		}
+	}
+	for _, c := range e.Closes {
+		n.agent.Close(c.Machine, c.Until)
+	}
+	for _, s := range e.Stops {
+		n.agent.Stop(s)
+	}
+	for _, s := range e.Starts {
+		n.agent.Start(s)
+	}
+	for _, d := range e.Drops {
+		n.placer.Drop(e.From, d)
+	}
+	if e.Tally != nil {
+		n.rental.Tally(e.From, *e.Tally)
+	}
+	for _, p := range e.Progress {
+		if j := n.book.Get(p.Job); j == nil || !j.Final() {
+			n.progress[p.Job] = job.Counts{Done: p.Done, Running: p.Running}
+		}
+	}
+	n.placer.Learn(e.Usage)
+}
+
+const contactAge = 2500 * loop.Millisecond
+
+// contact tells whether the state service answers this node.
+func (n *Node) contact() bool { return n.client.Healthy(contactAge) }
+
+// freshPeer tells what a peer said of itself within the last moments; held-back
+// words are told by their time of day.
+func (n *Node) freshPeer(label string) (peer.Status, bool) {
+	k := n.net.Known(label)
+	age := n.loop.Now() - k.Heard
+	late := n.loop.Wall() - k.Status.Wall
+	off := loop.Micros(n.cfg.Cluster.ClockOffMS * 2000)
+	return k.Status, k.Heard != 0 && age < 2500*loop.Millisecond && late < 3*loop.Second+off
+}
+
+// mayStart: without state contact no new start is made, since a cancellation
+// may have been told meanwhile.
+func (n *Node) mayStart() bool { return n.member.Entitled() && n.contact() }
+
+// mayAnswer tells whether reports may be answered. Without state contact a node
+// must not hold workers' leases for so long that a cancellation told elsewhere
+// could not be kept; while no node has contact, none can be told.
+func (n *Node) mayAnswer() (bool, string) {
+	if n.member.Epoch() == 0 {
+		return false, n.coach()
+	}
+	if n.member.Entitled() && n.contact() {
+		return true, ""
+	}
+	if to := n.coach(); to != "" && n.loop.Now()-n.client.Contact() > contactAge {
+		return false, to
+	}
+	return n.loop.Now() < n.answerUntil(), ""
+}
+
+// answerUntil is when workers must be let go, if the state service stays away.
+func (n *Node) answerUntil() loop.Micros {
+	w := n.cfg.Cluster.Workers
+	margin := 3*loop.Second + loop.Micros(n.cfg.Cluster.ClockOffMS*2000)
+	grace := loop.Seconds(w.CancelS) - loop.Seconds(w.LeaseS) - margin
+	last := n.client.Contact()
+	base := n.loop.Now()
+	if last == 0 {
+		return 0
+	}
+	for _, label := range n.net.Peers() {
+		s, fresh := n.freshPeer(label)
+		k := n.net.Known(label)
+		silentSince := k.Heard - s.NoContact // when the peer's last contact began, by our clock
+		if fresh && !s.Contact && s.NoContact > 0 && silentSince <= last+3*loop.Second {
+			base = min(base, k.Heard)
+		} else {
+			base = min(base, last)
+		}
+	}
+	return base + max(grace, 0)
+}
+
+// coach names a peer that has state contact.
+func (n *Node) coach() string {
+	best, least := "", 1<<30
+	for _, label := range n.net.Peers() {
+		if s, fresh := n.freshPeer(label); fresh && s.Contact && s.Hosted < least {
+			best, least = label, s.Hosted
+		}
+	}
+	return best
+}
+
+// ready tells whether users' requests can be decided here.
+func (n *Node) ready() bool {
+	return n.mirror.Ready() && (n.contact() || !n.client.Failing())
+}
+
+// healthy: a node that alone has lost the state service sends its users to the
+// others; when nobody has it, they stay and are told to come back.
+func (n *Node) healthy() bool {
+	if !n.mirror.Ready() || !n.rental.Asked() {
+		return false
+	}
+	return n.contact() || n.coach() == ""
+}
+
+func (n *Node) commands(addr string, c wire.Commands, timeout time.Duration) store.Response {
+	return n.exchange(addr, "POST", "/commands", wire.Marshal(c), timeout)
+}
+
+func (n *Node) probe(addr string) bool {
+	r := n.exchange(addr, "GET", "/inspect", nil, 1500*time.Millisecond)
+	return r.Err == nil && r.Status == 200
+}
+
+func (n *Node) exchange(addr, method, path string, body []byte, timeout time.Duration) store.Response {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + addr + path)
+	req.Header.SetMethod(method)
+	if body != nil {
+		req.Header.SetContentType("application/cbor")
+		req.SetBodyRaw(body)
+	}
+	if err := n.workers.DoTimeout(req, resp, timeout); err != nil {
+		return store.Response{Err: err}
+	}
+	return store.Response{Status: resp.StatusCode(), Body: append([]byte(nil), resp.Body()...)}
+}
+
+func (n *Node) status() {
+	s := &peer.Status{Wall: n.loop.Wall(), Contact: n.contact() && n.member.Entitled(), Hosted: n.agent.Hosted()}
+	if !s.Contact {
+		s.NoContact = max(n.loop.Now()-n.client.Contact()-1500*loop.Millisecond, 0)
+	}
+	n.net.All(func(e *peer.Envelope) { e.Status = s })
+}
+
+// Run listens and works until the context ends.
+func (n *Node) Run(ctx context.Context) error {
+	users, err := net.Listen("tcp4", n.cfg.ClientListen)
+	if err != nil {
+		return fmt.Errorf("client_listen: %w", err)
+	}
+	peers, err := net.Listen("tcp4", n.cfg.PeerListen)
+	if err != nil {
+		return fmt.Errorf("peer_listen: %w", err)
+	}
+	g, ctx := errgroup.WithContext(ctx)
+	n.loop.Post(func() {
+		n.member.Start()
+		n.mirror.Start()
+	})
+	loop.Every(n.loop, 700*loop.Millisecond, n.status)
+	g.Go(func() error { return n.loop.Run(ctx) })
+	g.Go(func() error { return n.net.Run(ctx, peers) })
+	g.Go(func() error { return n.front.Serve(users) })
+	g.Go(func() error {
+		<-ctx.Done()
+		users.Close()
+		return ctx.Err()
+	})
+	return g.Wait()
+}
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,318 @@
+// Package peer carries the messages between controllers: CBOR frames over plain
+// TCP, one connection for each direction. Every message may be lost, repeated or
+// late; what it says is repeated by its sender for as long as it matters.
+package peer
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"io"
+	"log/slog"
+	"net"
+	"time"
+
+	"cleatpick/internal/agent"
+	"cleatpick/internal/config"
+	"cleatpick/internal/loop"
+	"cleatpick/internal/wire"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// Status is what a node tells the others about itself.
+type Status struct {
+	Wall      loop.Micros `cbor:"1,keyasint"`
+	Contact   bool        `cbor:"2,keyasint"` // the state service answers it
+	NoContact loop.Micros `cbor:"3,keyasint"` // for how long it has not been answered
+	Hosted    int         `cbor:"4,keyasint"`
+}
+
+// Want is a group of alike tasks that found no room, as part of an owner's tally.
+type Want struct {
+	CPUs     float64  `cbor:"1,keyasint"`
+	GPUs     float64  `cbor:"2,keyasint,omitempty"`
+	MemoryGB float64  `cbor:"3,keyasint"`
+	Types    []string `cbor:"4,keyasint,omitempty"`
+	AnyType  bool     `cbor:"5,keyasint,omitempty"`
+	Zone     string   `cbor:"6,keyasint,omitempty"`
+	Spot     bool     `cbor:"7,keyasint,omitempty"`
+	Priority int      `cbor:"8,keyasint"`
+	Count    int      `cbor:"9,keyasint"`
+	Run      int64    `cbor:"10,keyasint"` // run time expected of one task
+}
+
+// Tally is an owner's whole list of missed requests; the newest replaces the last.
+type Tally struct {
+	Wall    loop.Micros `cbor:"1,keyasint"`
+	Wants   []Want      `cbor:"2,keyasint,omitempty"`
+	Suspect []string    `cbor:"3,keyasint,omitempty"` // machines that hold tasks and are not heard
+	Needed  []string    `cbor:"4,keyasint,omitempty"` // machines that recorded tasks are bound to
+}
+
+// Progress is what an owner tells of a job for display.
+type Progress struct {
+	Job     string `cbor:"1,keyasint"`
+	Done    int64  `cbor:"2,keyasint"`
+	Running int64  `cbor:"3,keyasint"`
+}
+
+// Usage is what a team uses, for the others' decisions.
+type Usage struct {
+	Team string  `cbor:"1,keyasint"`
+	CPUs float64 `cbor:"2,keyasint"`
+	GPUs float64 `cbor:"3,keyasint"`
+}
+
+// Close asks a host to keep starts off a machine until a time of day.
+type Close struct {
+	Machine string      `cbor:"1,keyasint"`
+	Until   loop.Micros `cbor:"2,keyasint"`
+}
+
+// Envelope is one frame.
+type Envelope struct {
+	From     string        `cbor:"1,keyasint"`
+	Status   *Status       `cbor:"2,keyasint,omitempty"`
+	Views    []*agent.View `cbor:"3,keyasint,omitempty"`
+	Starts   []agent.Start `cbor:"4,keyasint,omitempty"`
+	Stops    []agent.Stop  `cbor:"5,keyasint,omitempty"`
+	Drops    []agent.Drop  `cbor:"6,keyasint,omitempty"`
+	Tally    *Tally        `cbor:"7,keyasint,omitempty"`
+	Closes   []Close       `cbor:"8,keyasint,omitempty"`
+	Progress []Progress    `cbor:"9,keyasint,omitempty"`
+	Usage    []Usage       `cbor:"10,keyasint,omitempty"`
+}
+
+const (
+	maxFrame = 1 << 20
+	maxQueue = 64
+)
+
+// link is the outgoing side towards one peer.
+type link struct {
+	peer    config.Peer
+	next    Envelope
+	waiting bool
+	out     chan []byte
+}
+
+// Known is what was last heard of a peer.
+type Known struct {
+	Status Status
+	Heard  loop.Micros // steady time
+}
+
+// Net holds the links to all peers.
+type Net struct {
+	r     loop.Runner
+	log   *slog.Logger
+	self  string
+	links map[string]*link
+	known map[string]*Known
+	// Receive is called on the loop for every frame of a known peer.
+	Receive func(*Envelope)
+	// Up is called on the loop when a connection to a peer was made.
+	Up func(label string)
+}
+
+// New makes the links; Run works them.
+func New(r loop.Runner, log *slog.Logger, self string, peers []config.Peer) *Net {
+	n := &Net{r: r, log: log, self: self, links: map[string]*link{}, known: map[string]*Known{}}
+	for _, p := range peers {
+		n.links[p.Label] = &link{peer: p, out: make(chan []byte, maxQueue)}
+		n.known[p.Label] = &Known{}
+	}
+	return n
+}
+
+// Run accepts frames from and sends frames to all peers until the context ends.
+func (n *Net) Run(ctx context.Context, ln net.Listener) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error {
+		<-ctx.Done()
+		return ln.Close()
+	})
+	g.Go(func() error {
+		slots := make(chan struct{}, 8*len(n.links)+4)
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				if ctx.Err() != nil {
+					return nil
+				}
+				time.Sleep(50 * time.Millisecond)
+				continue
+			}
+			select {
+			case slots <- struct{}{}:
+				go func() {
+					n.serve(ctx, c)
+					<-slots
+				}()
+			default:
+				c.Close()
+			}
+		}
+	})
+	for _, l := range n.links {
+		g.Go(func() error {
+			n.send(ctx, l)
+			return nil
+		})
+	}
+	return g.Wait()
+}
+
+func (n *Net) serve(ctx context.Context, c net.Conn) {
+	defer c.Close()
+	in := bufio.NewReaderSize(c, 16<<10)
+	var head [4]byte
+	for ctx.Err() == nil {
+		// A silent peer says something every second; a connection without
+		// any word is left over from a cut.
+		c.SetReadDeadline(time.Now().Add(15 * time.Second))
+		if _, err := io.ReadFull(in, head[:]); err != nil {
+			return
+		}
+		size := binary.BigEndian.Uint32(head[:])
+		if size > maxFrame {
+			n.log.Error("oversized frame from a peer", "size", size)
+			return
+		}
+		body := make([]byte, size)
+		if _, err := io.ReadFull(in, body); err != nil {
+			return
+		}
+		e := new(Envelope)
+		if err := wire.Unmarshal(body, e); err != nil {
+			n.log.Error("malformed frame from a peer", "err", err)
+			return
+		}
+		n.r.Post(func() { n.received(e) })
+	}
+}
+
+func (n *Net) received(e *Envelope) {
+	k := n.known[e.From]
+	if k == nil {
+		return
+	}
+	if e.Status != nil && e.Status.Wall > k.Status.Wall {
+		k.Status, k.Heard = *e.Status, n.r.Now()
+	}
+	n.Receive(e)
+}
+
+// send keeps a connection to a peer and writes what is queued. What cannot be
+// written in time is thrown away with the connection.
+func (n *Net) send(ctx context.Context, l *link) {
+	for ctx.Err() == nil {
+		d := net.Dialer{Timeout: time.Second}
+		c, err := d.DialContext(ctx, "tcp", l.peer.Endpoint)
+		if err != nil {
+			n.drain(l)
+			select {
+			case <-ctx.Done():
+			case <-time.After(400 * time.Millisecond):
+			}
+			continue
+		}
+		n.drain(l)
+		n.log.Debug("connected to peer", "peer", l.peer.Label)
+		n.r.Post(func() { n.Up(l.peer.Label) })
+		n.pour(ctx, l, c)
+		c.Close()
+	}
+}
+
+func (n *Net) drain(l *link) {
+	for {
+		select {
+		case <-l.out:
+		default:
+			return
+		}
+	}
+}
+
+func (n *Net) pour(ctx context.Context, l *link, c net.Conn) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-l.out:
+			c.SetWriteDeadline(time.Now().Add(2 * time.Second))
+			if _, err := c.Write(f); err != nil {
+				n.log.Debug("peer connection failed", "peer", l.peer.Label, "err", err)
+				return
+			}
+		}
+	}
+}
+
+// To lets f add to what goes to a peer next; several additions share a frame.
+func (n *Net) To(label string, f func(*Envelope)) {
+	l := n.links[label]
+	if l == nil {
+		return
+	}
+	f(&l.next)
+	if l.waiting {
+		return
+	}
+	l.waiting = true
+	n.r.After(5*loop.Millisecond, func() { n.flush(l) })
+}
+
+func (n *Net) flush(l *link) {
+	l.waiting = false
+	l.next.From = n.self
+	// Of several views of a machine only the newest says anything.
+	if len(l.next.Views) > 1 {
+		last := map[string]int{}
+		for i, v := range l.next.Views {
+			last[v.Name] = i
+		}
+		kept := l.next.Views[:0:0]
+		for i, v := range l.next.Views {
+			if last[v.Name] == i {
+				kept = append(kept, v)
+			}
+		}
+		l.next.Views = kept
+	}
+	body := wire.Marshal(&l.next)
+	l.next = Envelope{}
+	f := make([]byte, 4+len(body))
+	binary.BigEndian.PutUint32(f, uint32(len(body)))
+	copy(f[4:], body)
+	select {
+	case l.out <- f:
+	default: // stuck: the repeats will say it again
+	}
+}
+
+// All lets f add to what goes to every peer next.
+func (n *Net) All(f func(*Envelope)) {
+	for label := range n.links {
+		n.To(label, f)
+	}
+}
+
+// Peers lists the labels of the peers.
+func (n *Net) Peers() []string {
+	var out []string
+	for label := range n.links {
+		out = append(out, label)
+	}
+	return out
+}
+
+// Known tells what was last heard of a peer.
+func (n *Net) Known(label string) Known {
+	if k := n.known[label]; k != nil {
+		return *k
+	}
+	return Known{}
+}
--- /dev/null
+++ b/internal/placer/place.go
@@ -0,0 +1,197 @@
+package placer
+
+import (
+	"sort"
+
+	"cleatpick/internal/agent"
+	"cleatpick/internal/job"
+	"cleatpick/internal/loop"
+	"cleatpick/internal/peer"
+)
+
+// slot is a machine as the placement pass sees it.
+type slot struct {
+	v    *agent.View
+	room agent.Room
+	all  agent.Room
+	cost float64 // price by CPU
+	used float64
+}
+
+// slots lists the machines that tasks may be placed on, with what is free there.
+func (p *Placer) slots() []*slot {
+	now := p.r.Now()
+	stale := 2*loop.Seconds(p.cfg.Cluster.Workers.ReportS) + 3*loop.Second
+	var out []*slot
+	p.agent.Views(func(v *agent.View) {
+		if v.NoticeAt != 0 || v.Closed || now-p.heard[v.Name] > stale || now < p.avoid[v.Name] || p.health.bad(now, v.Name) {
+			return
+		}
+		typ, ok := p.n.Type(v.Type)
+		if !ok {
+			return
+		}
+		room, ok := agent.Free(v, typ, p.specOf)
+		if !ok {
+			return
+		}
+		for r := range p.on[v.Name] {
+			x := r.t.task(r.i)
+			n := r.t.name(r.i)
+			if x.session < v.Session || v.Holds(n, x.attempt) {
+				continue
+			}
+			if e := v.Find(n); e != nil && e.Attempt == x.attempt {
+				continue
+			}
+			room.Take(r.t.j.Spec) // chosen or started, and not shown yet
+		}
+		cost := typ.Price / typ.CPUs
+		if v.Spot {
+			cost = typ.SpotPrice / typ.CPUs
+		}
+		out = append(out, &slot{v: v, room: room, all: agent.Room{CPUs: typ.CPUs, GPUs: typ.GPUs, MemoryGB: typ.MemoryGB},
+			cost: cost, used: typ.CPUs - room.CPUs})
+	})
+	sort.Slice(out, func(i, j int) bool { return out[i].v.Name < out[j].v.Name })
+	return out
+}
+
+func (p *Placer) specOf(task string) *job.Spec {
+	id, _, ok := agent.SplitTask(task)
+	if !ok {
+		return nil
+	}
+	j := p.book.Get(id)
+	if j == nil {
+		return nil
+	}
+	return j.Spec
+}
+
+// allowed tells whether the job's rules let a task of it go to this machine,
+// counting every task of it that may be on any machine.
+func allowed(t *table, v *agent.View) bool {
+	s := t.j.Spec
+	if !s.AllowsPlace(v.Type, v.Zone, v.Spot) {
+		return false
+	}
+	if s.OneZone {
+		for z, n := range t.zones {
+			if n > 0 && z != v.Zone {
+				return false
+			}
+		}
+	}
+	if s.Spread && t.zones[v.Zone] >= (t.j.Tasks+1)/2 {
+		return false
+	}
+	return true
+}
+
+// queue lists the jobs with waiting tasks in the order in which they are served.
+func (p *Placer) queue() []*table {
+	var q []*table
+	now := p.r.Now()
+	for _, tm := range p.teams {
+		if !tm.loaded {
+			continue
+		}
+		for _, t := range tm.jobs {
+			if !t.j.Final() && !t.closing && t.waiting() > 0 && now >= t.holdOff {
+				q = append(q, t)
+			}
+		}
+	}
+	sort.Slice(q, func(a, b int) bool {
+		x, y := q[a].j, q[b].j
+		if x.Spec.Priority != y.Spec.Priority {
+			return x.Spec.Priority > y.Spec.Priority
+		}
+		if x.At != y.At {
+			return x.At < y.At
+		}
+		return x.ID < y.ID
+	})
+	return q
+}
+
+// place gives waiting tasks to machines with free room; those that find none are misses.
+func (p *Placer) place() {
+	q := p.queue()
+	p.lastWant = nil
+	if len(q) == 0 {
+		return
+	}
+	slots := p.slots()
+	for _, t := range q {
+		s := t.j.Spec
+		probe := 1 << 30
+		if t.failures >= 3 && len(t.failedOn) >= 3 {
+			probe = 1 - t.inUse // one task at a time tells whether it still fails
+		}
+		for n := t.waiting(); n > 0 && probe > 0; n-- {
+			tm := t.team
+			if tm.cpus+s.CPUs > tm.cfg.CPUsMax+1e-9 || tm.gpus+s.GPUs > tm.cfg.GPUsMax+1e-9 {
+				break
+			}
+			best := p.choose(t, slots)
+			if best == nil {
+				break
+			}
+			probe--
+			i := t.pop()
+			x := t.task(i)
+			x.attempt++
+			x.machine, x.session, x.expiry, x.since = best.v.Name, best.v.Session, 0, 0
+			best.room.Take(s)
+			best.used += s.CPUs
+			p.setTask(t, i, Recording)
+			p.dirty(t, t.chunkOf(i), 3*loop.Millisecond)
+		}
+		if n := p.missed(t); n > 0 && probe > 0 {
+			p.lastWant = append(p.lastWant, peer.Want{CPUs: s.CPUs, GPUs: s.GPUs, MemoryGB: s.MemoryGB, Types: s.Types, AnyType: s.AnyType,
+				Zone: s.Zone, Spot: s.Spot, Priority: int(s.Priority), Count: n, Run: s.Estimate})
+		}
+	}
+}
+
+// missed is how many of a job's tasks wait for room and not for their team's limit.
+func (p *Placer) missed(t *table) int {
+	n := t.waiting()
+	s, tm := t.j.Spec, t.team
+	if s.CPUs > 0 {
+		n = min(n, int((tm.cfg.CPUsMax-tm.cpus+1e-9)/s.CPUs))
+	}
+	if s.GPUs > 0 {
+		n = min(n, int((tm.cfg.GPUsMax-tm.gpus+1e-9)/s.GPUs))
+	}
+	return max(n, 0)
+}
+
+// choose picks the machine for a task: one that has the image, then a cheap one,
+// then the fullest, so that others fall empty and can be given back.
+func (p *Placer) choose(t *table, slots []*slot) *slot {
+	s := t.j.Spec
+	var best *slot
+	var bestScore float64
+	for _, sl := range slots {
+		if !sl.room.Fits(s) || !allowed(t, sl.v) {
+			continue
+		}
+		score := sl.used / sl.all.CPUs
+		if _, ok := p.images[sl.v.Name][s.Image]; ok {
+			score += 4
+		}
+		if sl.v.Spot {
+			score += 2
+		}
+		if best == nil || score > bestScore {
+			best, bestScore = sl, score
+		}
+	}
+	return best
+}
+
+// Faulty tells whether a machine should be replaced for failing tasks.
+func (p *Placer) Faulty(machine string) bool { return p.health.faulty(machine) }
--- /dev/null
+++ b/internal/rental/order.go
@@ -0,0 +1,272 @@
+package rental
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"sort"
+	"strings"
+
+	"cleatpick/internal/agent"
+	"cleatpick/internal/job"
+	"cleatpick/internal/loop"
+	"cleatpick/internal/member"
+	"cleatpick/internal/peer"
+	"cleatpick/internal/store"
+	"cleatpick/internal/wire"
+)
+
+// wants gathers the missed requests of all owners that were heard lately.
+func (t *Rental) wants() []peer.Want {
+	var all []peer.Want
+	now := t.r.Now()
+	for from, y := range t.tallies {
+		if now-t.tallyAt[from] < 4*loop.Second {
+			all = append(all, y.Wants...)
+		}
+	}
+	sort.SliceStable(all, func(i, j int) bool { return all[i].Priority > all[j].Priority })
+	return all
+}
+
+func specOf(w *peer.Want) *job.Spec {
+	return &job.Spec{CPUs: w.CPUs, GPUs: w.GPUs, MemoryGB: w.MemoryGB, Types: w.Types, AnyType: w.AnyType, Zone: w.Zone, Spot: w.Spot}
+}
+
+type coming struct {
+	offer offer
+	room  agent.Room
+}
+
+// expected lists the machines on their way, which serve requests already.
+func (t *Rental) expected() []*coming {
+	var out []*coming
+	add := func(typ, zone string, spot bool) {
+		if x, ok := t.byName[typ]; ok {
+			out = append(out, &coming{offer{typ, zone, spot}, agent.Room{CPUs: x.CPUs, GPUs: x.GPUs, MemoryGB: x.MemoryGB}})
+		}
+	}
+	now := t.r.Now()
+	for _, m := range t.machines {
+		x := t.byName[m.typ]
+		// One that takes far longer than usual is not counted on any more.
+		if m.state == Booting && now-m.since < 2*loop.Seconds(x.BootS)+5*loop.Second {
+			add(m.typ, m.zone, m.spot)
+		}
+	}
+	for _, o := range t.orders {
+		if !o.o.Answered && !o.refused {
+			for range o.o.Count {
+				add(o.o.Type, o.o.Zone, o.o.Spot)
+			}
+		}
+	}
+	return out
+}
+
+func (c *coming) take(s *job.Spec, n int) int {
+	if !s.AllowsPlace(c.offer.typ, c.offer.zone, c.offer.spot) {
+		return 0
+	}
+	took := 0
+	for took < n && c.room.Fits(s) {
+		c.room.Take(s)
+		took++
+	}
+	return took
+}
+
+// recordOrders turns misses that no machine on its way will serve into recorded orders.
+func (t *Rental) recordOrders() {
+	if !t.listed || len(t.types) == 0 {
+		return
+	}
+	for _, o := range t.orders {
+		if !o.placed {
+			return // one at a time: the next looks at what this one brings
+		}
+	}
+	now := t.r.Now()
+	supply := t.expected()
+	need := map[offer]int{}
+	for _, w := range t.wants() {
+		s := specOf(&w)
+		left := w.Count
+		for _, c := range supply {
+			if left == 0 {
+				break
+			}
+			left -= c.take(s, left)
+		}
+		for left > 0 {
+			o, per, ok := t.cheapest(s, left, now, need)
+			if !ok {
+				break
+			}
+			need[o]++
+			x := t.byName[o.typ]
+			c := &coming{o, agent.Room{CPUs: x.CPUs, GPUs: x.GPUs, MemoryGB: x.MemoryGB}}
+			got := c.take(s, left)
+			if got == 0 || per == 0 {
+				break
+			}
+			left -= got
+			supply = append(supply, c)
+		}
+	}
+	var keys []offer
+	for o := range need {
+		keys = append(keys, o)
+	}
+	sort.Slice(keys, func(i, j int) bool { return fmt.Sprint(keys[i]) < fmt.Sprint(keys[j]) })
+	for _, o := range keys {
+		t.newOrder(o, min(need[o], 50))
+	}
+}
+
+// cheapest chooses what to rent for tasks of this shape: the lowest price for each
+// task served, at the current prices, leaving out what was refused lately.
+func (t *Rental) cheapest(s *job.Spec, left int, now loop.Micros, need map[offer]int) (offer, int, bool) {
+	var best offer
+	bestCost, bestPer := math.Inf(1), 0
+	for _, x := range t.types {
+		per := 1 << 30
+		if s.CPUs > 0 {
+			per = min(per, int(x.CPUs/s.CPUs+1e-9))
+		}
+		if s.GPUs > 0 {
+			per = min(per, int(x.GPUs/s.GPUs+1e-9))
+		}
+		if s.MemoryGB > 0 {
+			per = min(per, int(x.MemoryGB/s.MemoryGB+1e-9))
+		}
+		if per < 1 || !s.AllowsType(x.Name) {
+			continue
+		}
+		for _, z := range x.Zones {
+			for _, spot := range []bool{true, false} {
+				o := offer{x.Name, z, spot}
+				if !s.AllowsPlace(x.Name, z, spot) {
+					continue
+				}
+				if b := t.offers[o]; b != nil && now < b.until {
+					continue
+				}
+				price := x.Price
+				if spot {
+					price = x.SpotPrice
+				}
+				// What boots sooner serves sooner; spread over zones evenly.
+				cost := price/float64(min(per, max(left, 1)))*(1+x.BootS/600) + 1e-6*float64(need[o])
+				if cost < bestCost {
+					best, bestCost, bestPer = o, cost, per
+				}
+			}
+		}
+	}
+	return best, bestPer, bestPer > 0
+}
+
+// newOrder records an order under a name that is never used again; only then is
+// the cloud asked.
+func (t *Rental) newOrder(of offer, count int) {
+	t.seq++
+	name := fmt.Sprintf("r-%d-%d", t.claim.Epoch, t.seq)
+	o := &order{name: name, o: Order{Type: of.typ, Zone: of.zone, Spot: of.spot, Count: count, At: t.r.Wall()}}
+	t.orders[name] = o
+	t.storeOrder(o, []wire.Cond{member.LeaderCond(t.claim), {Key: OrderKeys + name, Mark: 0}}, func(ok bool) {
+		if ok {
+			o.placed = true
+			return
+		}
+		delete(t.orders, name) // its name is not used again; should it be stored late, a new leader asks for it once
+	})
+}
+
+func (t *Rental) storeOrder(o *order, cond []wire.Cond, cb func(ok bool)) {
+	t.c.Txn(store.Placements, wire.Txn{If: cond, Then: []wire.Change{{Put: OrderKeys + o.name, Value: o.o}}}, func(r store.Result) {
+		if r.Outcome == store.Applied {
+			o.mark = r.Tally
+		}
+		cb(r.Outcome == store.Applied)
+	})
+}
+
+// sendOrder asks the cloud for one recorded order; true if a call was made.
+func (t *Rental) sendOrder() bool {
+	now := t.r.Now()
+	var names []string
+	for name, o := range t.orders {
+		if o.finished != 0 && now-o.finished > 60*loop.Second {
+			t.dropOrder(o)
+			continue
+		}
+		if o.placed && !o.o.Answered && !o.busy && !o.refused && now >= o.nextTry {
+			names = append(names, name)
+		}
+	}
+	if len(names) == 0 {
+		return false
+	}
+	slices.Sort(names)
+	o := t.orders[names[0]]
+	o.busy = true
+	o.tries++
+	of := offer{o.o.Type, o.o.Zone, o.o.Spot}
+	t.call("POST", "/machines", wire.Rent{Request: o.name, Type: of.typ, Zone: of.zone, Spot: of.spot, Count: o.o.Count}, 5*loop.Second, func(resp store.Response) {
+		o.busy = false
+		if !t.leads || t.orders[o.name] != o {
+			return
+		}
+		var got wire.Names
+		switch {
+		case resp.Err == nil && resp.Status == 200 && wire.Unmarshal(resp.Body, &got) == nil:
+			t.log.Info("rented", "order", o.name, "type", of.typ, "zone", of.zone, "spot", of.spot, "asked", o.o.Count, "got", len(got.Machines))
+			o.o.Answered, o.o.Machines, o.finished = true, got.Machines, t.r.Now()
+			for _, name := range got.Machines {
+				t.adopt(name, of.typ, of.zone, of.spot)
+			}
+			if len(got.Machines) < o.o.Count {
+				t.refuse(of)
+			} else {
+				delete(t.offers, of)
+			}
+			t.storeOrder(o, []wire.Cond{{Key: OrderKeys + o.name, Mark: o.mark}}, func(bool) {})
+		case resp.Err == nil && resp.Status == 503 && strings.Contains(string(resp.Body), "capacity"):
+			t.log.Info("no capacity", "order", o.name, "type", of.typ, "zone", of.zone, "spot", of.spot)
+			t.refuse(of)
+			o.refused = true
+			t.dropOrder(o)
+		case resp.Err == nil && resp.Status == 400:
+			t.log.Error("order malformed", "order", o.name)
+			t.refuse(of)
+			o.refused = true
+			t.dropOrder(o)
+		default:
+			// No answer: it may have rented, or may yet. The same name asks again.
+			o.nextTry = t.r.Now() + loop.Second
+		}
+	})
+	return true
+}
+
+// refuse keeps an offer out of the choice for a while, longer each time.
+func (t *Rental) refuse(of offer) {
+	b := t.offers[of]
+	if b == nil {
+		b = &backoff{wait: 5 * loop.Second}
+		t.offers[of] = b
+	} else {
+		b.wait = min(b.wait*2, 40*loop.Second)
+	}
+	b.until = t.r.Now() + b.wait
+}
+
+func (t *Rental) dropOrder(o *order) {
+	delete(t.orders, o.name)
+	t.c.Txn(store.Background, wire.Txn{If: []wire.Cond{member.LeaderCond(t.claim)}, Then: []wire.Change{{Delete: OrderKeys + o.name}}}, func(r store.Result) {
+		if r.Outcome == store.Applied {
+			t.m.Apply(OrderKeys+o.name, nil, r.Tally, true)
+		}
+	})
+}
--- /dev/null
+++ b/internal/store/client.go
@@ -0,0 +1,359 @@
+// Package store speaks to the state service: it paces requests, keeps leases
+// ahead of everything else, and mirrors the keys that every node watches.
+package store
+
+import (
+	"errors"
+	"log/slog"
+	"strconv"
+	"time"
+
+	"cleatpick/internal/loop"
+	"cleatpick/internal/wire"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Prio orders waiting requests; lower values go first.
+type Prio int
+
+// The order in which requests are let through.
+const (
+	Leases Prio = iota
+	Answers
+	Placements
+	Results
+	Background
+	prios
+)
+
+// Outcome says what is known of a transaction.
+type Outcome int
+
+// The outcomes of a transaction.
+const (
+	Applied  Outcome = iota // executed
+	Conflict                // a condition failed; nothing was changed
+	Refused                 // certainly not executed: 429, 503
+	Unknown                 // no answer: it may have been executed, or may be later
+	NoLease                 // a put named a lease that has ended
+	Invalid                 // malformed: a fault of ours
+)
+
+// Result is the outcome of a transaction.
+type Result struct {
+	Outcome Outcome
+	Tally   uint64
+	Failed  []string
+}
+
+// Response is what one HTTP exchange gave.
+type Response struct {
+	Status int
+	Body   []byte
+	Err    error
+}
+
+// Doer makes one HTTP exchange; it blocks, and runs off the loop.
+type Doer interface {
+	Do(method, path string, body []byte, timeout time.Duration) Response
+}
+
+type httpDoer struct{ c *fasthttp.HostClient }
+
+// NewDoer speaks HTTP to one address.
+func NewDoer(addr string, conns int) Doer {
+	return httpDoer{&fasthttp.HostClient{
+		Addr: addr, MaxConns: conns, MaxConnWaitTimeout: time.Second,
+		Dial: func(a string) (c netConn, err error) {
+			return fasthttp.DialTimeout(a, 700*time.Millisecond)
+		},
+		MaxIdleConnDuration:           30 * time.Second,
+		NoDefaultUserAgentHeader:      true,
+		DisablePathNormalizing:        true,
+		DisableHeaderNamesNormalizing: true,
+		MaxIdemponentCallAttempts:     1,
+		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) {
+			return false, false // whether to repeat is the slices' decision
+		},
+		MaxResponseBodySize: 32 << 20,
+	}}
+}
+
+func (h httpDoer) Do(method, path string, body []byte, timeout time.Duration) Response {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + h.c.Addr + path)
+	req.Header.SetMethod(method)
+	if body != nil {
+		req.Header.SetContentType("application/cbor")
+		req.SetBodyRaw(body)
+	}
+	if err := h.c.DoTimeout(req, resp, timeout); err != nil {
+		return Response{Err: err}
+	}
+	return Response{Status: resp.StatusCode(), Body: append([]byte(nil), resp.Body()...)}
+}
+
+type request struct {
+	prio    Prio
+	writes  int
+	method  string
+	path    string
+	body    []byte
+	timeout loop.Micros
+	cb      func(Response)
+}
+
+// bucket is a token bucket on the steady clock.
+type bucket struct {
+	rate, burst, have float64
+	at                loop.Micros
+}
+
+func (b *bucket) fill(now loop.Micros) {
+	if b.at != 0 {
+		b.have += float64(now-b.at) / 1e6 * b.rate
+	}
+	if b.have > b.burst || b.at == 0 {
+		b.have = b.burst
+	}
+	b.at = now
+}
+
+// Client sends requests to the state service within this node's share of its limits.
+type Client struct {
+	r        loop.Runner
+	do       Doer
+	log      *slog.Logger
+	reads    bucket
+	puts     bucket
+	queues   [prios][]request
+	inFlight int
+	waking   bool
+	pauseTo  loop.Micros
+
+	// lastOK is when the newest request that was answered well was sent.
+	lastOK loop.Micros
+	// LastBad is when the newest failure came.
+	lastBad loop.Micros
+}
+
+const (
+	maxInFlight = 24
+	maxQueue    = 2000
+)
+
+var errQueue = errors.New("too many requests waiting for the state service")
+
+// NewClient makes a client that keeps to 1/nodes of the limits.
+func NewClient(r loop.Runner, do Doer, log *slog.Logger, rps, writeRPS float64, nodes int) *Client {
+	share := 0.9 / float64(max(nodes, 1))
+	return &Client{r: r, do: do, log: log,
+		reads: bucket{rate: rps * share, burst: max(rps*share*0.5, 4)},
+		puts:  bucket{rate: writeRPS * share, burst: max(writeRPS*share*0.9, 4)},
+	}
+}
+
+// Contact tells when the newest well answered request was sent.
+func (c *Client) Contact() loop.Micros { return c.lastOK }
+
+// Healthy tells whether the service answered within d and nothing newer failed for long.
+func (c *Client) Healthy(d loop.Micros) bool { return c.lastOK != 0 && c.r.Now()-c.lastOK < d }
+
+// Waiting is the number of requests queued here.
+func (c *Client) Waiting() int {
+	n := 0
+	for _, q := range c.queues {
+		n += len(q)
+	}
+	return n
+}
+
+// Send queues a request; cb runs on the loop.
+func (c *Client) Send(p Prio, writes int, method, path string, body any, timeout loop.Micros, cb func(Response)) {
+	if p != Leases && c.Waiting() >= maxQueue {
+		c.r.Post(func() { cb(Response{Err: errQueue}) })
+		return
+	}
+	var raw []byte
+	if body != nil {
+		raw = wire.Marshal(body)
+	}
+	c.queues[p] = append(c.queues[p], request{p, writes, method, path, raw, timeout, cb})
+	c.pump()
+}
+
+// pump sends what the limits allow now, and comes back when they allow more.
+func (c *Client) pump() {
+	now := c.r.Now()
+	c.reads.fill(now)
+	c.puts.fill(now)
+	for p := Leases; p < prios; p++ {
+		for len(c.queues[p]) > 0 {
+			q := c.queues[p][0]
+			if p != Leases {
+				if now < c.pauseTo || c.inFlight >= maxInFlight || c.reads.have < 1 ||
+					(q.writes > 0 && c.puts.have < min(float64(q.writes), c.puts.burst)) {
+					c.wakeLater()
+					return
+				}
+			}
+			c.queues[p] = c.queues[p][1:]
+			c.reads.have--
+			c.puts.have -= float64(q.writes)
+			c.inFlight++
+			c.r.Go(func() {
+				resp := c.do.Do(q.method, q.path, q.body, loop.Duration(q.timeout))
+				c.r.Post(func() { c.finished(q, now, resp) })
+			})
+		}
+	}
+}
+
+func (c *Client) wakeLater() {
+	if c.waking {
+		return
+	}
+	c.waking = true
+	c.r.After(15*loop.Millisecond, func() {
+		c.waking = false
+		c.pump()
+	})
+}
+
+func (c *Client) finished(q request, sent loop.Micros, resp Response) {
+	c.inFlight--
+	c.note(sent, resp)
+	q.cb(resp)
+	c.pump()
+}
+
+// note keeps the picture of whether this node has contact with the service.
+func (c *Client) note(sent loop.Micros, resp Response) {
+	switch {
+	case resp.Err == nil && resp.Status != 503 && resp.Status != 429:
+		c.lastOK = max(c.lastOK, sent)
+	case resp.Status == 429:
+		c.pauseTo = c.r.Now() + 100*loop.Millisecond
+		c.log.Debug("state service refused by rate")
+	default:
+		c.lastBad = c.r.Now()
+	}
+}
+
+// Failing tells whether the newest word from the service was a failure.
+func (c *Client) Failing() bool { return c.lastBad > c.lastOK }
+
+// Txn runs a transaction.
+func (c *Client) Txn(p Prio, t wire.Txn, cb func(Result)) {
+	if t.If == nil {
+		t.If = []wire.Cond{}
+	}
+	c.Send(p, len(t.Then), "POST", "/multi", t, 1500*loop.Millisecond, func(resp Response) {
+		cb(c.outcome(resp))
+	})
+}
+
+func (c *Client) outcome(resp Response) Result {
+	var r wire.TxnResult
+	switch {
+	case errors.Is(resp.Err, errQueue) || resp.Status == 429 || resp.Status == 503:
+		return Result{Outcome: Refused}
+	case resp.Err != nil:
+		return Result{Outcome: Unknown}
+	case resp.Status != 200 && resp.Status != 409 && resp.Status != 400:
+		return Result{Outcome: Unknown}
+	}
+	if err := wire.Unmarshal(resp.Body, &r); err != nil {
+		c.log.Error("state service sent nonsense", "err", err)
+		return Result{Outcome: Unknown}
+	}
+	switch {
+	case resp.Status == 200:
+		return Result{Outcome: Applied, Tally: r.Tally}
+	case resp.Status == 409:
+		return Result{Outcome: Conflict, Failed: r.Failed, Tally: r.Tally}
+	case r.Error == "no such lease":
+		return Result{Outcome: NoLease}
+	}
+	c.log.Error("state service calls a transaction malformed", "err", r.Error)
+	return Result{Outcome: Invalid}
+}
+
+// Get reads a key: found, definitely absent (found false, ok true), or no answer (ok false).
+func (c *Client) Get(p Prio, key string, cb func(item wire.Item, found, ok bool)) {
+	c.Send(p, 0, "GET", "/store/"+key, nil, 1500*loop.Millisecond, func(resp Response) {
+		var it wire.Item
+		switch {
+		case resp.Err == nil && resp.Status == 404:
+			cb(it, false, true)
+		case resp.Err == nil && resp.Status == 200 && wire.Unmarshal(resp.Body, &it) == nil:
+			cb(it, true, true)
+		default:
+			cb(it, false, false)
+		}
+	})
+}
+
+// Scan reads all keys under a prefix, page by page; tally is that of the first page.
+func (c *Client) Scan(p Prio, prefix string, cb func(items []wire.Item, tally uint64, ok bool)) {
+	var all []wire.Item
+	var first uint64
+	var page func(since string)
+	page = func(since string) {
+		path := "/store?under=" + prefix + "&limit=500"
+		if since != "" {
+			path += "&since=" + since
+		}
+		c.Send(p, 0, "GET", path, nil, 3*loop.Second, func(resp Response) {
+			var r wire.Range
+			if resp.Err != nil || resp.Status != 200 || wire.Unmarshal(resp.Body, &r) != nil {
+				cb(nil, 0, false)
+				return
+			}
+			if since == "" {
+				first = r.Tally
+			}
+			all = append(all, r.Items...)
+			if r.More && len(r.Items) > 0 {
+				page(r.Items[len(r.Items)-1].Key)
+				return
+			}
+			cb(all, first, true)
+		})
+	}
+	page("")
+}
+
+// Lease opens a lease; id 0 means that none was given.
+func (c *Client) Lease(ttl loop.Micros, cb func(id uint64)) {
+	c.Send(Leases, 0, "POST", "/holds", wire.Lease{TTLms: ttl / 1000}, 1500*loop.Millisecond, func(resp Response) {
+		var l wire.Lease
+		if resp.Err != nil || resp.Status != 200 || wire.Unmarshal(resp.Body, &l) != nil {
+			cb(0)
+			return
+		}
+		cb(l.ID)
+	})
+}
+
+// Extend renews a lease: alive, ended (alive false, ok true), or no answer.
+func (c *Client) Extend(id uint64, cb func(alive, ok bool)) {
+	c.Send(Leases, 0, "POST", "/holds/"+strconv.FormatUint(id, 10)+"/extend", nil, 1200*loop.Millisecond, func(resp Response) {
+		switch {
+		case resp.Err == nil && resp.Status == 200:
+			cb(true, true)
+		case resp.Err == nil && resp.Status == 404:
+			cb(false, true)
+		default:
+			cb(false, false)
+		}
+	})
+}
+
+// End ends a lease at once, as far as the service can be reached.
+func (c *Client) End(id uint64) {
+	c.Send(Leases, 0, "DELETE", "/holds/"+strconv.FormatUint(id, 10), nil, 1500*loop.Millisecond, func(Response) {})
+}
--- /dev/null
+++ b/internal/store/mirror.go
@@ -0,0 +1,179 @@
+package store
+
+import (
+	"net"
+	"sort"
+	"strconv"
+	"strings"
+
+	"cleatpick/internal/loop"
+	"cleatpick/internal/wire"
+)
+
+type netConn = net.Conn
+
+// Entry is a mirrored key. Mark 0 stands for an absent key.
+type Entry struct {
+	Value wire.Raw
+	Mark  uint64
+	gone  bool
+}
+
+// MirrorState names where the mirror stands.
+type MirrorState int
+
+// The states of the mirror.
+const (
+	MirrorEmpty    MirrorState = iota // nothing was read yet
+	MirrorReading                     // the keys are being read
+	MirrorWatching                    // read, and followed by watches
+)
+
+// Mirror is a copy of all keys under one prefix, kept up by a watch. It may lag;
+// whoever needs certainty adds conditions to a transaction.
+type Mirror struct {
+	c       *Client
+	watch   Doer
+	prefix  string
+	state   MirrorState
+	since   uint64
+	entries map[string]Entry
+	subs    []sub
+	ready   []func()
+}
+
+type sub struct {
+	prefix string
+	f      func(key string, e Entry)
+}
+
+// NewMirror makes a mirror; Start reads and follows the keys.
+func NewMirror(c *Client, watch Doer, prefix string) *Mirror {
+	return &Mirror{c: c, watch: watch, prefix: prefix, entries: map[string]Entry{}}
+}
+
+// On calls f for every change of a key under the prefix. A removed key has Mark 0.
+func (m *Mirror) On(prefix string, f func(key string, e Entry)) {
+	m.subs = append(m.subs, sub{prefix, f})
+}
+
+// OnReady calls f once the keys were read for the first time.
+func (m *Mirror) OnReady(f func()) { m.ready = append(m.ready, f) }
+
+// Ready tells whether the keys were read.
+func (m *Mirror) Ready() bool { return m.since != 0 }
+
+func (m *Mirror) setState(s MirrorState) { m.state = s }
+
+// Get returns the newest known version of a key.
+func (m *Mirror) Get(key string) (Entry, bool) {
+	e, ok := m.entries[key]
+	if !ok || e.gone {
+		return Entry{}, false
+	}
+	return e, true
+}
+
+// Under lists the known keys under a prefix, in order.
+func (m *Mirror) Under(prefix string) []string {
+	var keys []string
+	for k, e := range m.entries {
+		if !e.gone && strings.HasPrefix(k, prefix) {
+			keys = append(keys, k)
+		}
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+// Apply takes in a version of a key learnt in any way; older ones are ignored.
+func (m *Mirror) Apply(key string, value wire.Raw, mark uint64, removed bool) {
+	old, known := m.entries[key]
+	if known && old.Mark >= mark {
+		return
+	}
+	e := Entry{Value: value, Mark: mark, gone: removed}
+	m.entries[key] = e
+	if removed && (!known || old.gone) {
+		return
+	}
+	if removed {
+		e = Entry{}
+	}
+	for _, s := range m.subs {
+		if strings.HasPrefix(key, s.prefix) {
+			s.f(key, e)
+		}
+	}
+}
+
+// Start reads all keys, then follows their changes for as long as the process lives.
+func (m *Mirror) Start() { m.read() }
+
+func (m *Mirror) read() {
+	m.setState(MirrorReading)
+	m.c.Scan(Answers, m.prefix, func(items []wire.Item, tally uint64, ok bool) {
+		if !ok {
+			m.c.r.After(500*loop.Millisecond, m.read)
+			return
+		}
+		have := map[string]bool{}
+		for _, it := range items {
+			have[it.Key] = true
+			m.Apply(it.Key, it.Value, it.Mark, false)
+		}
+		for k, e := range m.entries {
+			if !have[k] && !e.gone && e.Mark <= tally {
+				m.Apply(k, nil, tally, true) // it went while we could not see
+			}
+		}
+		first := m.since == 0
+		m.since = max(tally, 1)
+		m.setState(MirrorWatching)
+		if first {
+			for _, f := range m.ready {
+				f()
+			}
+		}
+		m.follow()
+	})
+}
+
+// follow opens the next watch. Watches count against the limit, so changes that
+// come close together are left to gather for a moment.
+func (m *Mirror) follow() {
+	now := m.c.r.Now()
+	m.c.reads.have--
+	path := "/changes?under=" + m.prefix + "&since=" + strconv.FormatUint(m.since, 10) + "&waitMs=20000"
+	m.c.r.Go(func() {
+		resp := m.watch.Do("GET", path, nil, loop.Duration(26*loop.Second))
+		m.c.r.Post(func() { m.followed(now, resp) })
+	})
+}
+
+func (m *Mirror) followed(sent loop.Micros, resp Response) {
+	if resp.Err == nil && resp.Status == 410 {
+		m.read()
+		return
+	}
+	var ev wire.Events
+	if resp.Err != nil || resp.Status != 200 || wire.Unmarshal(resp.Body, &ev) != nil {
+		m.c.note(sent, resp)
+		m.c.r.After(200*loop.Millisecond, m.follow)
+		return
+	}
+	for _, e := range ev.Events {
+		if e.Put != "" {
+			m.Apply(e.Put, e.Value, e.Mark, false)
+		} else if e.Delete != "" {
+			m.Apply(e.Delete, nil, e.Mark, true)
+		}
+	}
+	m.since = max(m.since, ev.Tally)
+	for k, e := range m.entries {
+		if e.gone && e.Mark+5000 < m.since {
+			delete(m.entries, k)
+		}
+	}
+	m.c.r.After(60*loop.Millisecond, m.follow)
+}
