--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -533,15 +533,11 @@
 	m.direct = false
 	var r wire.Report
 	sure := resp.Err == nil && (resp.Status == 200 || resp.Status == 409) && wire.Unmarshal(resp.Body, &r) == nil
-	for k, p := range m.pending {
-		if !p.direct {
-			continue
-		}
-		p.direct = false
-		if !sure {
+	for _, p := range m.pending {
+		if p.direct && !sure {
 			p.limbo = token + 1
 		}
-		_ = k
+		p.direct = false
 	}
 	if a.hosted[m.view.Name] != m {
 		return
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -107,9 +107,9 @@
 	case strings.HasPrefix(path, "/work/"):
 		id := strings.TrimPrefix(path, "/work/")
 		if base, ok := strings.CutSuffix(id, "/withdraw"); ok && post {
-			f.withdraw(ctx, base)
+			f.named(ctx, base, f.n.Book.Withdraw)
 		} else if get {
-			f.poll(ctx, id)
+			f.named(ctx, id, f.n.Book.Poll)
 		} else {
 			write(ctx, 405, wire.Error{Error: "method not allowed"})
 		}
@@ -238,7 +238,8 @@
 	}))
 }
 
-func (f *Front) poll(ctx *fasthttp.RequestCtx, id string) {
+// named answers a request about one job by way of the book.
+func (f *Front) named(ctx *fasthttp.RequestCtx, id string, request func(id string, cb func(job.Answer))) {
 	if !job.ValidID(id) {
 		write(ctx, 404, wire.Error{Error: "no such job"})
 		return
@@ -248,20 +249,6 @@
 			done(verdict{status: 503, why: "not ready"})
 			return
 		}
-		f.n.Book.Poll(id, f.settle(done))
-	}))
-}
-
-func (f *Front) withdraw(ctx *fasthttp.RequestCtx, id string) {
-	if !job.ValidID(id) {
-		write(ctx, 404, wire.Error{Error: "no such job"})
-		return
-	}
-	f.reply(ctx, ask(f, func(done func(verdict)) {
-		if !f.n.Ready() {
-			done(verdict{status: 503, why: "not ready"})
-			return
-		}
-		f.n.Book.Withdraw(id, f.settle(done))
+		request(id, f.settle(done))
 	}))
 }
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -504,7 +504,7 @@
 
 // DoneChange is the change that makes a job done; it goes with DoneCond.
 func DoneChange(j *Job) wire.Change {
-	return wire.Change{Put: Keys + j.ID, Value: Record{Phase: Done, At: j.At, Spec: j.Spec}}
+	return wire.Change{Put: Keys + j.ID, Value: Record{Phase: Done, At: j.At, Tasks: j.Tasks}}
 }
 
 // Cond is the condition that the job is as known here.
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -84,13 +84,13 @@
 	mine     map[string]Owner
 	nodes    map[string]nodeRecord
 	handed   loop.Micros // when owned keys were last handed over
-	evicted  map[string]uint64
+	evicted  map[string]loop.Micros
 }
 
 // New makes the membership; Start begins it.
 func New(r loop.Runner, c *store.Client, m *store.Mirror, log *slog.Logger, label string, teams []string, ttl loop.Micros) *Member {
 	return &Member{r: r, c: c, m: m, log: log, label: label, teams: teams, ttl: ttl,
-		freeAt: map[string]loop.Micros{}, asking: map[string]bool{}, mine: map[string]Owner{}, nodes: map[string]nodeRecord{}, evicted: map[string]uint64{}}
+		freeAt: map[string]loop.Micros{}, asking: map[string]bool{}, mine: map[string]Owner{}, nodes: map[string]nodeRecord{}, evicted: map[string]loop.Micros{}}
 }
 
 // Start begins when the mirror has been read.
@@ -363,15 +363,24 @@
 	}
 }
 
+// evictAgain is how long a node that was evicted is left alone.
+const evictAgain = 60 * loop.Second
+
 // Evict ends the lease of a node that refuses connections and is not heard. That is
 // no proof that it is dead, and need not be: all it records is conditioned on its
 // claims, so one that lives merely joins again.
 func (b *Member) Evict(label string) {
 	rec, ok := b.nodes[label]
-	if !ok || label == b.label || !b.Entitled() || b.evicted[label] == rec.Lease {
+	now := b.r.Now()
+	if !ok || label == b.label || !b.Entitled() {
+		return
+	}
+	if at, was := b.evicted[label]; was && now-at < evictAgain {
+		// It came back and is still refused: a packet filter lies between, and
+		// to end its lease over and over would keep its teams from being served.
 		return
 	}
-	b.evicted[label] = rec.Lease
+	b.evicted[label] = now
 	b.log.Info("ends the lease of a node that refuses connections", "node", label, "lease", rec.Lease)
 	b.c.End(rec.Lease)
 }
--- /dev/null
+++ b/internal/member/member_test.go
@@ -0,0 +1,143 @@
+package member
+
+import (
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"cleatpick/internal/loop"
+	"cleatpick/internal/standin"
+	"cleatpick/internal/store"
+)
+
+// stepped is time moved by hand.
+type stepped struct {
+	now  loop.Micros
+	todo []func()
+	at   []loop.Micros
+}
+
+func (s *stepped) Now() loop.Micros  { return s.now }
+func (s *stepped) Wall() loop.Micros { return s.now }
+func (s *stepped) Post(f func())     { s.After(0, f) }
+func (s *stepped) Go(f func())       { s.After(1, f) }
+func (s *stepped) After(d loop.Micros, f func()) {
+	s.todo, s.at = append(s.todo, f), append(s.at, s.now+d)
+}
+
+func (s *stepped) run(d loop.Micros) {
+	for end := s.now + d; ; {
+		k := -1
+		for i := range s.at {
+			if s.at[i] <= end && (k < 0 || s.at[i] < s.at[k]) {
+				k = i
+			}
+		}
+		if k < 0 {
+			s.now = end
+			return
+		}
+		f := s.todo[k]
+		s.now = max(s.now, s.at[k])
+		s.todo, s.at = append(s.todo[:k], s.todo[k+1:]...), append(s.at[:k], s.at[k+1:]...)
+		f()
+	}
+}
+
+// tap lets a node lose the state service.
+type tap struct {
+	state *standin.State
+	ends  int
+	off   bool
+}
+
+func (x *tap) Do(method, path string, body []byte, d time.Duration) store.Response {
+	if x.off {
+		return store.Response{Status: 503}
+	}
+	if method == "DELETE" {
+		x.ends++
+	}
+	return x.state.Do(method, path, body, d)
+}
+
+func nodeOn(s *stepped, x *tap, label string) *Member {
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	c := store.NewClient(s, x, log, 1000, 1000, 1)
+	m := store.NewMirror(c, x, Prefix)
+	b := New(s, c, m, log, label, []string{"red", "blue"}, 4*loop.Second)
+	b.Start()
+	m.Start()
+	return b
+}
+
+func owners(b *Member) (red, blue string) {
+	r, _ := b.TeamOwner("red")
+	u, _ := b.TeamOwner("blue")
+	return r.Node, u.Node
+}
+
+// A node that is refused by the state service alone loses what it owns, and never
+// believes to own what another has claimed.
+func TestRefusedNodeLosesItsTeams(t *testing.T) {
+	s := &stepped{now: 100 * loop.Second}
+	state := standin.NewState(func() loop.Micros { return s.now })
+	xa, xb := &tap{state: state}, &tap{state: state}
+	a := nodeOn(s, xa, "a")
+	s.run(3 * loop.Second)
+	if r, u := owners(a); r != "a" || u != "a" {
+		t.Fatalf("alone, a does not own both teams: %q %q", r, u)
+	}
+	b := nodeOn(s, xb, "b")
+	s.run(2 * loop.Second)
+	xa.off = true
+	s.run(10 * loop.Second)
+	if r, u := owners(b); r != "b" || u != "b" {
+		t.Fatalf("b did not take the teams over: %q %q", r, u)
+	}
+	if a.Entitled() {
+		t.Fatal("a believes in a lease that it could not renew")
+	}
+	xa.off = false
+	s.run(10 * loop.Second)
+	if _, mine := a.mine[teamKeys+"red"]; mine || !a.Active() {
+		t.Fatalf("a is active %v and believes to own red %v", a.Active(), mine)
+	}
+}
+
+// A packet filter refuses connections like a dead node does. Its lease was once
+// ended with every refusal, and its teams were served by nobody.
+func TestEvictionIsNotRepeated(t *testing.T) {
+	s := &stepped{now: 100 * loop.Second}
+	state := standin.NewState(func() loop.Micros { return s.now })
+	xa, xb := &tap{state: state}, &tap{state: state}
+	a := nodeOn(s, xa, "a")
+	b := nodeOn(s, xb, "b")
+	s.run(3 * loop.Second)
+	for range 40 {
+		a.Evict("b")
+		s.run(500 * loop.Millisecond)
+	}
+	if xa.ends != 1 {
+		t.Fatalf("the lease was ended %d times in 20 s", xa.ends)
+	}
+	if !b.Active() {
+		t.Fatal("the evicted node did not join again")
+	}
+}
+
+// A node that hears no peer hands over once, and keeps what nobody else takes.
+func TestHandOver(t *testing.T) {
+	s := &stepped{now: 100 * loop.Second}
+	state := standin.NewState(func() loop.Micros { return s.now })
+	a := nodeOn(s, &tap{state: state}, "a")
+	s.run(3 * loop.Second)
+	b := nodeOn(s, &tap{state: state}, "b")
+	s.run(2 * loop.Second)
+	a.Isolated = func() bool { return true }
+	s.run(3 * loop.Second)
+	if r, u := owners(b); r != "b" || u != "b" {
+		t.Fatalf("the teams did not move: %q %q", r, u)
+	}
+}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -310,38 +310,34 @@
 			}
 		}
 	}
-	freed := false
 	for r := range p.on[v.Name] {
-		if p.judge(r.t, r.i, v) {
-			freed = true
-		}
+		p.judge(r.t, r.i, v)
 	}
 	if v.Host != "" {
 		p.forgets(v)
 	}
-	_ = freed
 	p.Kick()
 }
 
-// judge draws what a view proves about a task. It returns true when the task is off.
-func (p *Placer) judge(t *table, i int, v *agent.View) bool {
+// judge draws what a view proves about a task.
+func (p *Placer) judge(t *table, i int, v *agent.View) {
 	x := t.task(i)
 	if x.state != Placed {
-		return false
+		return
 	}
 	name := t.name(i)
 	if v.Session > x.session {
 		// The worker began a new session: all tasks of the one before were killed.
 		p.off(t, i, "new session")
-		return true
+		return
 	}
 	if v.Session < x.session {
-		return false
+		return
 	}
 	e := v.Find(name, x.attempt)
 	if e == nil {
 		if v.Holds(name, x.attempt) {
-			return false
+			return
 		}
 		// Absent. That proves something only once the start can no longer
 		// arrive: it had expired by every clock, and the worker's patience for
@@ -350,13 +346,13 @@
 		safe := x.expiry + p.clockTo() + answerLife
 		if v.Settled && v.At > safe {
 			p.off(t, i, "absent")
-			return true
+			return
 		}
 		if now := p.r.Now(); p.r.Wall() > safe && now-p.checked[v.Name] > loop.Second {
 			p.checked[v.Name] = now
 			p.n.Check(v.Host, v.Name)
 		}
-		return false
+		return
 	}
 	x.seen = true
 	if e.Active() {
@@ -375,7 +371,7 @@
 		if t.j.Final() {
 			p.stop(t, i, 0)
 		}
-		return false
+		return
 	}
 	switch {
 	case e.Why == wire.WhyDone && !t.j.Spec.Service:
@@ -395,7 +391,7 @@
 		for k := range v.Tasks {
 			if o := &v.Tasks[k]; o.Task == name && o.Active() {
 				p.n.Stop(v.Host, agent.Stop{Machine: v.Name, Task: name, Attempt: o.Attempt})
-				return false
+				return
 			}
 		}
 		p.off(t, i, "busy")
@@ -406,7 +402,6 @@
 		p.forgetTable(t)
 		p.sweep(t)
 	}
-	return true
 }
 
 // answerLife is how long a worker waits for the answer to its report, and so how
--- a/internal/placer/table.go
+++ b/internal/placer/table.go
@@ -79,7 +79,6 @@
 	failedOn  map[string]bool
 	failures  int
 	holdOff   loop.Micros
-	missed    bool
 	toldDone  int64
 	toldRun   int64
 }
--- a/internal/rental/rental.go
+++ b/internal/rental/rental.go
@@ -154,10 +154,7 @@
 	listAt   loop.Micros
 	catAt    loop.Micros
 	listed   bool // a list was read in this leadership
-	goneAt   map[string]loop.Micros
 	spareAt  loop.Micros
-	forget   []string
-	heardAt  map[string]loop.Micros
 	// OnGone is called once for every machine that is known to be deleted.
 	OnGone func(string)
 }
@@ -165,7 +162,7 @@
 // New makes the rental slice.
 func New(r loop.Runner, log *slog.Logger, cfg *config.Config, c *store.Client, m *store.Mirror, cloud store.Doer, a *agent.Agent, n Node) *Rental {
 	t := &Rental{r: r, log: log, cfg: cfg, c: c, m: m, cloud: cloud, agent: a, n: n, byName: map[string]wire.MachineType{},
-		tallies: map[string]peer.Tally{}, tallyAt: map[string]loop.Micros{}, goneAt: map[string]loop.Micros{}, heardAt: map[string]loop.Micros{}}
+		tallies: map[string]peer.Tally{}, tallyAt: map[string]loop.Micros{}}
 	m.On(CatalogKey, func(key string, e store.Entry) {
 		var rec catalogRecord
 		if e.Mark == 0 {
@@ -267,7 +264,6 @@
 
 // View takes in that a machine was heard.
 func (t *Rental) View(v *agent.View) {
-	t.heardAt[v.Name] = t.r.Now()
 	if !t.leads {
 		return
 	}
