--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -55,6 +55,7 @@
 	stops    map[key]request
 	direct   bool
 	flushing bool
+	touching bool
 	closeTo  loop.Micros
 	heard    loop.Micros
 	sent     loop.Micros // when the view was last published
@@ -105,18 +106,6 @@
 	return a
 }
 
-func (a *Agent) spec(task string) *job.Spec {
-	id, _, ok := SplitTask(task)
-	if !ok {
-		return nil
-	}
-	j := a.h.Job(id)
-	if j == nil {
-		return nil
-	}
-	return j.Spec
-}
-
 // setState is the one place where a machine's standing with this node changes.
 func (a *Agent) setState(m *machine, s HostState) {
 	if m.state == s {
@@ -345,6 +334,7 @@
 	v.Closed = closed
 	v.Rev++
 	c := *v
+	c.resolved = false
 	a.views[v.Name] = &c
 	if m.dirty || now-m.sent > 2*loop.Second {
 		m.dirty, m.sent = false, now
@@ -370,15 +360,56 @@
 	}
 }
 
-// Reserve tells other owners, while an attempt is being recorded, that its room is
-// taken. It is a courtesy that saves vain starts; what counts is the start itself.
+// Reserve keeps room for a start while its attempt is being recorded, and refuses at
+// once what does not fit any more: with many owners after the same room, every vain
+// choice would otherwise cost a record. What counts is the start itself.
 func (a *Agent) Reserve(s Start) {
 	m := a.hosted[s.Machine]
-	if m == nil || s.Session != m.view.Session || a.job(s.Task) == nil {
+	if m == nil {
+		return
+	}
+	j := a.job(s.Task)
+	if j == nil {
+		return // its record is on its way here; the start will tell
+	}
+	why := ""
+	switch typ, known := a.h.Type(m.view.Type); {
+	case s.Session != m.view.Session:
+		why = "another session"
+	case a.r.Wall() < m.closeTo:
+		why = "closed"
+	case m.view.NoticeAt != 0:
+		why = "notice"
+	case j.Final() || !known:
+		why = "unknown"
+	default:
+		m.view.resolved = false
+		if room, ok := a.Room(&m.view, typ); !ok || !room.Fits(j.Spec) {
+			why = "full"
+		}
+	}
+	if why != "" {
+		a.h.Drop(s.From, Drop{Machine: s.Machine, Task: s.Task, Attempt: s.Attempt, Why: why, Reserve: true})
 		return
 	}
 	m.reserved[key{s.Task, s.Attempt}] = a.r.Now() + 700*loop.Millisecond
-	a.touch(m)
+	a.listPending(m)
+	a.touchSoon(m)
+}
+
+// touchSoon renews what others see of the machine once for several causes that come
+// together: the starts of a large job reach a machine one after another.
+func (a *Agent) touchSoon(m *machine) {
+	if m.touching {
+		return
+	}
+	m.touching = true
+	a.r.After(3*loop.Millisecond, func() {
+		m.touching = false
+		if a.hosted[m.view.Name] == m {
+			a.touch(m)
+		}
+	})
 }
 
 // Learn takes in a view of a machine that reports to another node.
@@ -414,7 +445,7 @@
 		if m != nil {
 			m.refused[k] = s.Expiry + a.h.ClockTo
 		}
-		a.h.Drop(s.From, Drop{s.Machine, s.Task, s.Attempt, why})
+		a.h.Drop(s.From, Drop{Machine: s.Machine, Task: s.Task, Attempt: s.Attempt, Why: why})
 	}
 	if m == nil {
 		return // the owner hears of the new host and sends it there, until the start expires
@@ -451,14 +482,16 @@
 	case !a.h.MayStart():
 		drop("no state contact")
 	default:
-		room, ok := Free(&m.view, typ, a.spec)
+		m.view.resolved = false
+		room, ok := a.Room(&m.view, typ)
 		if !ok || !room.Fits(j.Spec) {
 			drop("full")
 			return
 		}
 		m.pending[k] = &pending{s: s}
 		m.dirty = true
-		a.touch(m)
+		a.listPending(m) // the next start must find this room taken
+		a.touchSoon(m)
 		a.flushSoon(m)
 	}
 }
@@ -600,7 +633,16 @@
 func (a *Agent) View(name string) *View { return a.views[name] }
 
 // Room is what is free on a machine; ok is false where that is not known.
-func (a *Agent) Room(v *View, t wire.MachineType) (Room, bool) { return Free(v, t, a.spec) }
+func (a *Agent) Room(v *View, t wire.MachineType) (Room, bool) {
+	ok := v.resolve(a.h.Job)
+	return Room{t.CPUs, t.GPUs, t.MemoryGB}.Less(v.used), ok
+}
+
+// Jobs are the jobs of a view's tasks, in their order; nil where one is not known here.
+func (a *Agent) Jobs(v *View) []*job.Job {
+	v.resolve(a.h.Job)
+	return v.jobs
+}
 
 // Views calls f for every machine heard and not gone.
 func (a *Agent) Views(f func(*View)) {
--- a/internal/agent/view.go
+++ b/internal/agent/view.go
@@ -41,6 +41,49 @@
 	Closed   bool        `cbor:"13,keyasint,omitempty"` // takes no starts, since it is to be deleted
 	Tasks    []Task      `cbor:"14,keyasint,omitempty"`
 	Pending  []Task      `cbor:"15,keyasint,omitempty"` // starts that may still be carried out
+
+	jobs     []*job.Job // of Tasks, looked up once; a published view never changes
+	used     Room       // what its tasks and pending starts take
+	resolved bool       // every job was known here
+}
+
+// resolve looks the jobs of a view's tasks up. It is asked again while one of them
+// is not known here yet, and costs nothing once all are.
+func (v *View) resolve(find func(id string) *job.Job) bool {
+	if v.resolved {
+		return true
+	}
+	all := true
+	v.used = Room{}
+	v.jobs = make([]*job.Job, len(v.Tasks))
+	for i := range v.Tasks {
+		id, _, _ := SplitTask(v.Tasks[i].Task)
+		j := find(id)
+		v.jobs[i] = j
+		if !v.Tasks[i].Active() {
+			continue
+		}
+		if j == nil || j.Spec == nil {
+			all = false
+			continue
+		}
+		v.used.Give(j.Spec)
+	}
+	for i := range v.Pending {
+		p := &v.Pending[i]
+		if v.Find(p.Task, p.Attempt) != nil {
+			continue
+		}
+		id, _, _ := SplitTask(p.Task)
+		j := find(id)
+		if j == nil || j.Spec == nil {
+			all = false
+			continue
+		}
+		v.used.Give(j.Spec)
+	}
+	v.resolved = all
+	return all
 }
 
 // newer tells whether v says more than old about the same machine.
@@ -97,12 +140,15 @@
 	Forget  bool        `cbor:"5,keyasint,omitempty"` // forget instead: its result is recorded
 }
 
-// Drop tells an owner that its start was not and will never be passed on by this host.
+// Drop tells an owner that its start was not and will never be passed on by this host;
+// or, with Reserve, only that no room is kept for it. The latter proves nothing of a
+// start: the start may follow, and find room.
 type Drop struct {
 	Machine string `cbor:"1,keyasint"`
 	Task    string `cbor:"2,keyasint"`
 	Attempt uint64 `cbor:"3,keyasint"`
 	Why     string `cbor:"4,keyasint"`
+	Reserve bool   `cbor:"5,keyasint,omitempty"`
 }
 
 // SplitTask takes a task's name apart.
@@ -138,37 +184,14 @@
 	r.MemoryGB -= s.MemoryGB
 }
 
+// Less is what is left of the room beside what is used.
+func (r Room) Less(used Room) Room {
+	return Room{r.CPUs - used.CPUs, r.GPUs - used.GPUs, r.MemoryGB - used.MemoryGB}
+}
+
 // Give gives a task's share back.
 func (r *Room) Give(s *job.Spec) {
 	r.CPUs += s.CPUs
 	r.GPUs += s.GPUs
 	r.MemoryGB += s.MemoryGB
 }
-
-// Free is the room left on a machine; ok is false where something runs whose
-// size is not known here, so that nothing may be placed.
-func Free(v *View, t wire.MachineType, spec func(task string) *job.Spec) (Room, bool) {
-	room := Room{t.CPUs, t.GPUs, t.MemoryGB}
-	for i := range v.Tasks {
-		if !v.Tasks[i].Active() {
-			continue
-		}
-		s := spec(v.Tasks[i].Task)
-		if s == nil {
-			return Room{}, false
-		}
-		room.Take(s)
-	}
-	for i := range v.Pending {
-		p := &v.Pending[i]
-		if v.Find(p.Task, p.Attempt) != nil {
-			continue
-		}
-		s := spec(p.Task)
-		if s == nil {
-			return Room{}, false
-		}
-		room.Take(s)
-	}
-	return room, true
-}
--- a/internal/placer/health.go
+++ b/internal/placer/health.go
@@ -37,6 +37,9 @@
 		if m.counted[t.Task] >= t.Attempt {
 			continue
 		}
+		if len(m.counted) > 64+2*len(v.Tasks) {
+			m.forget(v) // a machine may live for long
+		}
 		m.counted[t.Task] = t.Attempt
 		if t.Why == wire.WhyDone {
 			m.errors = 0
@@ -55,12 +58,25 @@
 	}
 }
 
+// forget drops what the machine does not report any more.
+func (m *machineHealth) forget(v *agent.View) {
+	kept := map[string]uint64{}
+	for i := range v.Tasks {
+		if n, ok := m.counted[v.Tasks[i].Task]; ok {
+			kept[v.Tasks[i].Task] = n
+		}
+	}
+	m.counted = kept
+}
+
 func (h *health) gone(machine string) { delete(h.machines, machine) }
 
-// bad tells whether nothing should be placed on the machine now.
-func (h *health) bad(now loop.Micros, machine string) bool {
-	m := h.machines[machine]
-	return m != nil && now < m.until
+// until is when something may be placed on the machine again.
+func (h *health) until(machine string) loop.Micros {
+	if m := h.machines[machine]; m != nil {
+		return m.until
+	}
+	return 0
 }
 
 // faulty tells whether the machine fails tasks of several jobs and should be replaced.
--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"math"
 	"sort"
 
 	"cleatpick/internal/agent"
@@ -11,76 +10,6 @@
 	"cleatpick/internal/peer"
 )
 
-// slot is a machine as the placement pass sees it.
-type slot struct {
-	v    *agent.View
-	room agent.Room
-	all  agent.Room
-	cost float64 // price by CPU
-	dear float64 // how far that is above the cheapest of all machines here, from 0 to 1
-	used float64
-}
-
-// slots lists the machines that tasks may be placed on, with what is free there.
-func (p *Placer) slots() []*slot {
-	now := p.r.Now()
-	stale := 2*loop.Seconds(p.cfg.Cluster.Workers.ReportS) + 3*loop.Second
-	var out []*slot
-	p.agent.Views(func(v *agent.View) {
-		if v.NoticeAt != 0 || v.Closed || now-p.heard[v.Name] > stale || now < p.avoid[v.Name] || p.health.bad(now, v.Name) {
-			return
-		}
-		typ, ok := p.n.Type(v.Type)
-		if !ok {
-			return
-		}
-		room, ok := agent.Free(v, typ, p.specOf)
-		if !ok {
-			return
-		}
-		for r := range p.on[v.Name] {
-			x := r.t.task(r.i)
-			n := r.t.name(r.i)
-			if x.session < v.Session || v.Holds(n, x.attempt) {
-				continue
-			}
-			if v.Find(n, x.attempt) != nil {
-				continue
-			}
-			room.Take(r.t.j.Spec) // chosen or started, and not shown yet
-		}
-		cost := typ.Price / typ.CPUs
-		if v.Spot {
-			cost = typ.SpotPrice / typ.CPUs
-		}
-		out = append(out, &slot{v: v, room: room, all: agent.Room{CPUs: typ.CPUs, GPUs: typ.GPUs, MemoryGB: typ.MemoryGB},
-			cost: cost, used: typ.CPUs - room.CPUs})
-	})
-	sort.Slice(out, func(i, j int) bool { return out[i].v.Name < out[j].v.Name })
-	least := math.Inf(1)
-	for _, sl := range out {
-		least = min(least, sl.cost)
-	}
-	for _, sl := range out {
-		if sl.cost > 0 {
-			sl.dear = 1 - least/sl.cost
-		}
-	}
-	return out
-}
-
-func (p *Placer) specOf(task string) *job.Spec {
-	id, _, ok := agent.SplitTask(task)
-	if !ok {
-		return nil
-	}
-	j := p.book.Get(id)
-	if j == nil {
-		return nil
-	}
-	return j.Spec
-}
-
 // allowed tells whether the job's rules let a task of it go to this machine,
 // counting every task of it that may be on any machine.
 func allowed(t *table, v *agent.View) bool {
@@ -165,17 +94,19 @@
 
 // place gives waiting tasks to machines with free room; those that find none are misses.
 func (p *Placer) place() {
+	began := p.r.Now()
 	q := p.queue()
 	p.lastWant = nil
 	if len(q) == 0 {
 		return
 	}
 	p.expireClaims()
-	slots := p.slots()
+	p.refresh()
 	now := p.r.Now()
 	stops := now >= p.pre.nextRun
 	var excess map[string]float64
 	var chosen []hostStart
+	full := map[shape]bool{} // nothing has room for tasks of this shape
 	for _, e := range q {
 		t := e.t
 		s := t.j.Spec
@@ -183,30 +114,17 @@
 		if t.failures >= 3 && len(t.failedOn) >= 3 {
 			probe = 1 - t.inUse // one task at a time tells whether it still fails
 		}
-		if s.Gang && !p.gangFits(t, slots) {
+		if s.Gang && !p.gangFits(t) {
 			probe = 0
 			p.lastWant = append(p.lastWant, p.want(t, t.waiting()))
 		}
-		for n := t.waiting(); n > 0 && probe > 0; n-- {
-			tm := t.team
-			if tm.cpus+s.CPUs > tm.cfg.CPUsMax+1e-9 || tm.gpus+s.GPUs > tm.cfg.GPUsMax+1e-9 {
-				break
-			}
-			best := p.choose(t, slots)
-			if best == nil {
-				break
+		sh, free := shapeOf(s)
+		if n := min(probe, p.missed(t)); n > 0 && (!full[sh] || p.pre.held[t.j.ID] > 0) {
+			got := p.fill(t, n, &chosen)
+			probe -= got
+			if got < n && free && p.pre.held[t.j.ID] == 0 {
+				full[sh] = true
 			}
-			probe--
-			i := t.pop()
-			x := t.task(i)
-			x.attempt++
-			x.machine, x.session, x.expiry, x.since = best.v.Name, best.v.Session, 0, 0
-			best.room.Take(s)
-			best.used += s.CPUs
-			p.useClaim(best.v.Name, t.j.ID)
-			p.setTask(t, i, Recording)
-			chosen = append(chosen, hostStart{best.v.Host, agent.Start{Machine: x.machine, Session: x.session, Task: t.name(i), Attempt: x.attempt}})
-			p.dirty(t, t.chunkOf(i), 3*loop.Millisecond)
 		}
 		missed := p.missed(t)
 		if missed <= 0 || probe <= 0 {
@@ -226,7 +144,7 @@
 				n = min(n, int(room/s.CPUs))
 			}
 			if within || s.Priority >= job.High {
-				p.preempt(t, slots, n, within, excess)
+				p.preempt(t, n, within, excess)
 			}
 		}
 		p.lastWant = append(p.lastWant, p.want(t, missed))
@@ -238,6 +156,32 @@
 		p.n.Claims(p.pre.news)
 		p.pre.news = nil
 	}
+	p.took = p.r.Now() - began
+	p.log.Debug("placed", "tasks", len(chosen), "jobs", len(q), "missed", len(p.lastWant), "took_us", p.took)
+}
+
+// fill places up to n waiting tasks of a job and tells how many found room.
+func (p *Placer) fill(t *table, n int, chosen *[]hostStart) int {
+	s, got := t.j.Spec, 0
+	for _, sl := range p.ranked(t, p.fleet.order) {
+		for got < n && sl.takes(t) {
+			i := t.pop()
+			x := t.task(i)
+			x.attempt++
+			x.machine, x.session, x.expiry, x.since = sl.v.Name, sl.v.Session, 0, 0
+			sl.room.Take(s)
+			sl.used += s.CPUs
+			p.useClaim(sl, t.j.ID)
+			p.setTask(t, i, Recording)
+			*chosen = append(*chosen, hostStart{sl.v.Host, agent.Start{Machine: x.machine, Session: x.session, Task: t.name(i), Attempt: x.attempt, From: p.n.Label}})
+			p.recordStart(t, i)
+			got++
+		}
+		if got == n {
+			break
+		}
+	}
+	return got
 }
 
 func (p *Placer) want(t *table, n int) peer.Want {
@@ -248,29 +192,27 @@
 
 // gangFits tells whether all waiting tasks of a gang find room at once, while none
 // of its tasks is left over from an earlier start.
-func (p *Placer) gangFits(t *table, slots []*slot) bool {
-	s, tm, n := t.j.Spec, t.team, t.waiting()
-	if t.inUse > 0 || tm.cpus+s.CPUs*float64(n) > tm.cfg.CPUsMax+1e-9 || tm.gpus+s.GPUs*float64(n) > tm.cfg.GPUsMax+1e-9 {
+func (p *Placer) gangFits(t *table) bool {
+	s, n := t.j.Spec, t.waiting()
+	if t.inUse > 0 || p.missed(t) < n {
 		return false
 	}
-	trial := make([]*slot, len(slots))
-	for i, sl := range slots {
+	trial := make([]*slot, len(p.fleet.order))
+	for i, sl := range p.fleet.order {
 		c := *sl
 		trial[i] = &c
 	}
 	zones := t.zones
 	t.zones = maps.Clone(zones)
 	defer func() { t.zones = zones }()
-	for ; n > 0; n-- {
-		best := p.choose(t, trial)
-		if best == nil {
-			return false
+	for _, sl := range p.ranked(t, trial) {
+		for n > 0 && sl.takes(t) {
+			sl.room.Take(s)
+			t.zones[sl.v.Zone]++
+			n--
 		}
-		best.room.Take(s)
-		best.used += s.CPUs
-		t.zones[best.v.Zone]++
 	}
-	return true
+	return n == 0
 }
 
 // missed is how many of a job's tasks wait for room and not for their team's limit.
@@ -286,41 +228,5 @@
 	return max(n, 0)
 }
 
-// choose picks the machine for a task. What is urgent goes where its image is, so
-// that it starts at once. Anything else goes to the cheapest kind of machine, and
-// there to the fullest, so that dear machines fall empty and can be given back; a
-// fetch costs it little.
-func (p *Placer) choose(t *table, slots []*slot) *slot {
-	s := t.j.Spec
-	image := 1.0
-	if s.Priority >= job.High {
-		image = 10
-	}
-	var best *slot
-	var bestScore float64
-	for _, sl := range slots {
-		if !sl.room.Fits(s) || !allowed(t, sl.v) || !p.fitsBesideClaims(sl, t) {
-			continue
-		}
-		score := 2*sl.used/sl.all.CPUs - 3*sl.dear
-		if _, ok := p.images[sl.v.Name][s.Image]; ok {
-			score += image
-		}
-		if best == nil || score > bestScore {
-			best, bestScore = sl, score
-		}
-	}
-	return best
-}
-
-// fitsBesideClaims leaves the room alone that is kept for more urgent jobs.
-func (p *Placer) fitsBesideClaims(sl *slot, t *table) bool {
-	if len(p.pre.claims) == 0 {
-		return true
-	}
-	room := p.roomFor(sl, t)
-	return room.Fits(t.j.Spec)
-}
-
 // Faulty tells whether a machine should be replaced for failing tasks.
 func (p *Placer) Faulty(machine string) bool { return p.health.faulty(machine) }
--- /dev/null
+++ b/internal/placer/place_test.go
@@ -0,0 +1,433 @@
+package placer
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"log/slog"
+	"maps"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"cleatpick/internal/agent"
+	"cleatpick/internal/config"
+	"cleatpick/internal/job"
+	"cleatpick/internal/loop"
+	"cleatpick/internal/member"
+	"cleatpick/internal/peer"
+	"cleatpick/internal/standin"
+	"cleatpick/internal/store"
+	"cleatpick/internal/wire"
+
+	"pgregory.net/rapid"
+)
+
+// rig is one owner under hand-driven time with machines that only exist as views.
+type rig struct {
+	*standin.Stepped
+	p      *Placer
+	a      *agent.Agent
+	book   *job.Book
+	mirror *store.Mirror
+	state  *standin.State
+	writes int
+	txns   int
+	starts []agent.Start
+	tally  peer.Tally
+	seq    uint64
+}
+
+func (g *rig) Do(method, path string, body []byte, d time.Duration) store.Response {
+	if path == "/multi" {
+		var t wire.Txn
+		if wire.Unmarshal(body, &t) == nil && len(t.Then) > 0 {
+			g.writes += len(t.Then)
+			g.txns++
+		}
+	}
+	return g.state.Do(method, path, body, d)
+}
+
+// The verdict must be the same every time, so the generator's seed is fixed.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		if err := f.Value.Set("20261201"); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+var types = map[string]wire.MachineType{
+	"m8":  {Name: "m8", CPUs: 8, MemoryGB: 32, Price: 1, SpotPrice: 0.3, BootS: 4, Zones: []string{"x", "y"}},
+	"m16": {Name: "m16", CPUs: 16, MemoryGB: 32, Price: 2.2, SpotPrice: 0.5, BootS: 4, Zones: []string{"x", "y"}},
+}
+
+func newRig(writeRPS float64, teams ...config.Team) *rig {
+	g := &rig{Stepped: standin.NewStepped(1000 * loop.Second)}
+	cfg := &config.Config{Operator: config.Defaults()}
+	cfg.Cluster.Workers.ReportS, cfg.Cluster.Workers.LeaseS, cfg.Cluster.Workers.CancelS = 3, 10, 30
+	cfg.Cluster.State.TxnOps, cfg.Cluster.State.ValueKB = 16, 4 // small, so that segments fill
+	cfg.Cluster.Teams = teams
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	g.state = standin.NewState(func() loop.Micros { return g.Now() })
+	c := store.NewClient(g, g, log, 100, writeRPS, 1)
+	g.mirror = store.NewMirror(c, g, "c/")
+	g.book = job.NewBook(g, c, g.mirror, log, 16)
+	g.a = agent.New(g, log, agent.Host{Label: "a", Job: g.book.Get, Changed: func(v *agent.View) { g.p.View(v) }}, nil)
+	g.p = New(g, c, log, cfg, Node{
+		Label:   "a",
+		Type:    func(name string) (wire.MachineType, bool) { t, ok := types[name]; return t, ok },
+		Start:   func(_ string, s agent.Start) { g.starts = append(g.starts, s) },
+		Stop:    func(string, agent.Stop) {},
+		Check:   func(string, string) {},
+		Reserve: func(string, agent.Start) {},
+		Tally:   func(t peer.Tally) { g.tally = t },
+		Tell:    func([]peer.Progress) {},
+		Usage:   func([]peer.Usage) {},
+		Claims:  func([]peer.Claim) {},
+	}, g.book, g.a)
+	g.book.OnJob = g.p.Job
+	for _, t := range teams {
+		mark := g.state.Put("c/t/"+t.Name, map[string]any{"n": "a", "e": 1})
+		g.p.Owned(t.Name, true, member.Owner{Node: "a", Epoch: 1, Mark: mark})
+	}
+	g.mirror.Start()
+	g.Run(loop.Second)
+	return g
+}
+
+// job stores an accepted job, as another node would have.
+func (g *rig) job(no int, s job.Spec) string {
+	id := fmt.Sprintf("job-%06d", no)
+	rec := job.Record{Phase: job.Accepted, At: g.Now(), Spec: &s}
+	mark := g.state.Put(job.Keys+id, rec)
+	g.mirror.Apply(job.Keys+id, wire.Marshal(rec), mark, false)
+	return id
+}
+
+// show lets a machine be heard with these tasks on it.
+func (g *rig) show(name, typ, zone string, spot bool, tasks ...agent.Task) {
+	g.seq++
+	g.a.Learn(&agent.View{Name: name, Type: typ, Zone: zone, Spot: spot, Host: "b", Session: 1, Seq: g.seq, Settled: true, At: g.Now(), Tasks: tasks})
+}
+
+// plainRoom is a machine's free room, worked out from nothing but its view and the
+// tables.
+func (g *rig) plainRoom(name string) agent.Room {
+	v := g.a.View(name)
+	typ := types[v.Type]
+	room := agent.Room{CPUs: typ.CPUs, GPUs: typ.GPUs, MemoryGB: typ.MemoryGB}
+	shown := map[string]bool{}
+	for _, x := range v.Tasks {
+		id, _, _ := agent.SplitTask(x.Task)
+		shown[fmt.Sprint(x.Task, x.Attempt)] = true
+		if x.State != wire.TaskExited {
+			room.Take(g.book.Get(id).Spec)
+		}
+	}
+	for _, tm := range g.p.teams {
+		for _, t := range tm.jobs {
+			for i := range t.j.Tasks {
+				x := t.task(i)
+				if (x.state == Recording || x.state == Placed) && x.machine == name && x.session >= v.Session &&
+					!shown[fmt.Sprint(t.name(i), x.attempt)] {
+					room.Take(t.j.Spec)
+				}
+			}
+		}
+	}
+	return room
+}
+
+// plainPlace is the pass as it reads in the design: every task by itself, every machine
+// looked at for each.
+func (g *rig) plainPlace() map[string]string {
+	out := map[string]string{}
+	rooms := map[string]agent.Room{}
+	g.a.Views(func(v *agent.View) { rooms[v.Name] = g.plainRoom(v.Name) })
+	cpus := map[string]float64{}
+	least := 1e9
+	cost := map[string]float64{}
+	g.a.Views(func(v *agent.View) {
+		typ := types[v.Type]
+		cost[v.Name] = typ.Price / typ.CPUs
+		if v.Spot {
+			cost[v.Name] = typ.SpotPrice / typ.CPUs
+		}
+		least = min(least, cost[v.Name])
+	})
+	names := make([]string, 0, len(rooms))
+	for name := range rooms {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, e := range g.p.queue() {
+		t := e.t
+		s := t.j.Spec
+		zones := maps.Clone(t.zones)
+		for range t.waiting() {
+			if t.team.cpus+cpus[s.Team]+s.CPUs > t.team.cfg.CPUsMax+1e-9 {
+				break
+			}
+			best, bestScore := "", 0.0
+			for _, name := range names {
+				v := g.a.View(name)
+				room := rooms[name]
+				if !room.Fits(s) || !s.AllowsPlace(v.Type, v.Zone, v.Spot) || v.NoticeAt != 0 || v.Closed {
+					continue
+				}
+				other := false
+				for z, n := range zones {
+					other = other || (n > 0 && z != v.Zone)
+				}
+				if (s.OneZone && other) || (s.Spread && zones[v.Zone] >= (t.j.Tasks+1)/2) {
+					continue
+				}
+				typ := types[v.Type]
+				score := 2*(typ.CPUs-room.CPUs)/typ.CPUs - 3*(1-least/cost[name])
+				if _, ok := g.p.fleet.slots[name].images[s.Image]; ok {
+					score++
+					if s.Priority >= job.High {
+						score += 9
+					}
+				}
+				if best == "" || score > bestScore {
+					best, bestScore = name, score
+				}
+			}
+			if best == "" {
+				break
+			}
+			room := rooms[best]
+			room.Take(s)
+			rooms[best] = room
+			zones[g.a.View(best).Zone]++
+			cpus[s.Team] += s.CPUs
+			out[fmt.Sprintf("%s on %s", t.j.ID, best)] += "+"
+		}
+	}
+	return out
+}
+
+// The slots are kept up to date by what happens to each machine, and a pass ranks them
+// once for each job. Both must come to what looking at everything anew comes to.
+func TestPassesMatchThePlainModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := newRig(1000, config.Team{Name: "red", CPUs: 1000, CPUsMax: 60}, config.Team{Name: "blue", CPUs: 1000, CPUsMax: 1000})
+		g.p.pre.nextRun = 1 << 62 // the model stops nothing
+		machines, jobs := 0, 0
+		on := map[string][]agent.Task{}
+		for range rapid.IntRange(3, 25).Draw(t, "steps") {
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0:
+				machines++
+				g.show(fmt.Sprintf("n-%03d", machines), rapid.SampledFrom([]string{"m8", "m16"}).Draw(t, "type"),
+					rapid.SampledFrom([]string{"x", "y"}).Draw(t, "zone"), rapid.Bool().Draw(t, "spot"))
+			case 1:
+				jobs++
+				s := job.Spec{Class: "k", Team: rapid.SampledFrom([]string{"red", "blue"}).Draw(t, "team"),
+					Priority: job.Priority(rapid.IntRange(0, 2).Draw(t, "priority")), Tasks: rapid.IntRange(1, 70).Draw(t, "tasks"),
+					CPUs: float64(rapid.IntRange(1, 5).Draw(t, "cpus")), MemoryGB: float64(rapid.IntRange(1, 12).Draw(t, "memory")),
+					Image: rapid.SampledFrom([]string{"i", "k"}).Draw(t, "image"), AnyType: true, Spot: rapid.Bool().Draw(t, "may be spot"), Estimate: loop.Second}
+				switch rapid.IntRange(0, 4).Draw(t, "where") {
+				case 0:
+					s.OneZone = true
+				case 1:
+					s.Spread = true
+				case 2:
+					s.Zone = "y"
+				case 3:
+					s.AnyType, s.Types = false, []string{"m16"}
+				}
+				g.job(jobs, s)
+			case 2: // what was started shows up, and some of it has ended
+				for _, s := range g.starts {
+					on[s.Machine] = append(on[s.Machine], agent.Task{Task: s.Task, Attempt: s.Attempt, State: wire.TaskRunning})
+				}
+				g.starts = nil
+				for name, all := range on {
+					for i := range all {
+						if rapid.IntRange(0, 3).Draw(t, "ends") == 0 {
+							all[i].State, all[i].Why = wire.TaskExited, wire.WhyDone
+						}
+					}
+					v := g.a.View(name)
+					g.show(name, v.Type, v.Zone, v.Spot, slices.Clone(all)...)
+				}
+			default:
+				g.Run(loop.Micros(rapid.IntRange(1, 300).Draw(t, "ms")) * loop.Millisecond)
+			}
+			want := g.plainPlace()
+			before := map[string]bool{}
+			each := func(f func(string, *task, *table)) {
+				for _, tm := range g.p.teams {
+					for _, tb := range tm.jobs {
+						for i := range tb.j.Tasks {
+							x := tb.task(i)
+							f(fmt.Sprint(tb.name(i), "#", x.attempt), x, tb)
+						}
+					}
+				}
+			}
+			each(func(n string, x *task, _ *table) { before[n] = x.inUse() })
+			g.p.place()
+			got := map[string]string{}
+			each(func(n string, x *task, tb *table) {
+				if x.state == Recording && !before[n] {
+					got[fmt.Sprintf("%s on %s", tb.j.ID, x.machine)] += "+"
+				}
+			})
+			if !maps.Equal(got, want) {
+				t.Fatalf("placed %v, want %v", got, want)
+			}
+			g.p.refresh()
+			for name, sl := range g.p.fleet.slots {
+				if room := g.plainRoom(name); sl.known && room != sl.room {
+					t.Fatalf("%s has %v free by its slot, %v by its view", name, sl.room, room)
+				}
+			}
+		}
+	})
+}
+
+// A start goes out only once its record is stored, and many starts share a write: with
+// ten changes a second, a thousand tasks that come one by one are still all started.
+func TestStartsShareWrites(t *testing.T) {
+	g := newRig(10, config.Team{Name: "red", CPUs: 5000, CPUsMax: 5000})
+	for i := range 60 {
+		g.show(fmt.Sprintf("n-%03d", i), "m8", "x", false)
+	}
+	for i := range 40 {
+		g.job(i, job.Spec{Class: "k", Team: "red", Tasks: 12, CPUs: 1, MemoryGB: 1, Image: "i", AnyType: true, Estimate: loop.Second})
+		g.Run(50 * loop.Millisecond)
+	}
+	g.Run(4 * loop.Second)
+	placed := map[string]string{}
+	for no := range 100 {
+		raw, ok := g.state.Value(segmentKey("red", no))
+		var rec segmentRecord
+		if !ok || wire.Unmarshal(raw, &rec) != nil {
+			continue
+		}
+		for _, j := range rec.Jobs {
+			for _, e := range j.Tasks {
+				if e.State == storedPlaced {
+					placed[fmt.Sprint(j.ID, "/", e.Index, "#", e.Attempt)] = rec.Machines[e.Machine-1].Name
+				}
+			}
+		}
+	}
+	started := map[string]bool{}
+	for _, s := range g.starts {
+		n := fmt.Sprint(s.Task, "#", s.Attempt)
+		started[n] = true
+		if placed[n] != s.Machine {
+			t.Fatalf("%s was started on %s, and its record says %q", n, s.Machine, placed[n])
+		}
+	}
+	if len(started) != 480 {
+		t.Fatalf("%d of 480 tasks were started", len(started))
+	}
+	if most := 10*6 + 10; g.writes > most {
+		t.Fatalf("%d changes in 6 s, with 10 a second allowed", g.writes)
+	}
+}
+
+// A refused reservation that comes after the record was taken proves nothing: the start
+// is on its way, and may find room. Taken for a dropped start, it let ten tasks of a
+// day run twice.
+func TestLateRefusalProvesNothing(t *testing.T) {
+	g := newRig(100, config.Team{Name: "red", CPUs: 50, CPUsMax: 50})
+	g.show("n-001", "m8", "x", false)
+	g.job(1, job.Spec{Class: "k", Team: "red", Tasks: 1, CPUs: 1, MemoryGB: 1, Image: "i", AnyType: true, Estimate: loop.Second})
+	x := func() *task { return g.p.teams["red"].jobs["job-000001"].task(0) }
+	for x().state != Recording {
+		g.Run(loop.Millisecond)
+	}
+	refuse := func() {
+		g.p.Drop("b", agent.Drop{Machine: "n-001", Task: "job-000001/0", Attempt: x().attempt, Why: "full", Reserve: true})
+	}
+	refuse()
+	if x().state != Waiting {
+		t.Fatalf("a task whose room was refused before its record is in state %d", x().state)
+	}
+	g.Run(loop.Second)
+	if len(g.starts) == 0 || x().state != Placed {
+		t.Fatalf("it was not placed again: state %d", x().state)
+	}
+	refuse()
+	if x().state != Placed {
+		t.Fatalf("a late refusal made the task free, in state %d, while its start is on its way", x().state)
+	}
+}
+
+// A withdrawn job's tasks count until they are proven off, for the next owner too: the
+// log must keep them when it is written anew.
+func TestLogKeepsWithdrawnTasks(t *testing.T) {
+	team := config.Team{Name: "red", CPUs: 4, CPUsMax: 4}
+	g := newRig(100, team)
+	g.show("n-001", "m8", "x", false)
+	spec := job.Spec{Class: "k", Team: "red", Tasks: 2, CPUs: 1, MemoryGB: 1, Image: "i", AnyType: true, Estimate: loop.Second}
+	id := g.job(1, spec)
+	g.Run(loop.Second)
+	rec := job.Record{Phase: job.Withdrawn, At: g.Now(), Spec: &spec}
+	g.mirror.Apply(job.Keys+id, wire.Marshal(rec), g.state.Put(job.Keys+id, rec), false)
+	g.job(2, spec)
+	g.Run(loop.Second)
+	if use := g.p.teams["red"].cpus; use != 4 {
+		t.Fatalf("%v CPUs are in use, want 4", use)
+	}
+	g.p.Owned("red", false, member.Owner{})
+	mark := g.state.Put("c/t/red", map[string]any{"n": "a", "e": 2})
+	g.p.Owned("red", true, member.Owner{Node: "a", Epoch: 2, Mark: mark})
+	g.job(3, spec)
+	g.starts = nil
+	g.Run(loop.Second)
+	if use := g.p.teams["red"].cpus; use != 4 {
+		t.Fatalf("the next owner counts %v CPUs in use, want 4", use)
+	}
+	for _, s := range g.starts {
+		if id, _, _ := agent.SplitTask(s.Task); id == "job-000003" {
+			t.Fatalf("%s was started beyond the team's limit", s.Task)
+		}
+	}
+}
+
+// Tasks are recorded in any order, so the log of an unfinished job has gaps. The next
+// owner must start each of the others once, and none that the job does not have.
+func TestRestoreFillsGaps(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := newRig(100, config.Team{Name: "red", CPUs: 1000, CPUsMax: 1000})
+		n := rapid.IntRange(1, 300).Draw(t, "tasks")
+		id := g.job(1, job.Spec{Class: "k", Team: "red", Tasks: n, CPUs: 1, MemoryGB: 1, Image: "i", AnyType: true, Estimate: loop.Second})
+		recorded := map[int]bool{}
+		rec := segmentRecord{Machines: []machineEntry{{Name: "n-000", Zone: "x"}}, Jobs: []jobEntry{{ID: id}}}
+		for _, i := range rapid.SliceOfDistinct(rapid.IntRange(0, n-1), rapid.ID).Draw(t, "recorded") {
+			recorded[i] = true
+			rec.Jobs[0].Tasks = append(rec.Jobs[0].Tasks, taskEntry{Index: i, State: storedPlaced, Attempt: 1, Machine: 1, Session: 1, Expiry: g.Now()})
+		}
+		g.state.Put(segmentKey("red", 0), rec)
+		g.p.Owned("red", false, member.Owner{})
+		mark := g.state.Put("c/t/red", map[string]any{"n": "a", "e": 2})
+		g.p.Owned("red", true, member.Owner{Node: "a", Epoch: 2, Mark: mark})
+		for i := range 40 {
+			g.show(fmt.Sprintf("n-1%02d", i), "m8", "x", false)
+		}
+		g.Run(loop.Second)
+		started := map[string]bool{}
+		for _, s := range g.starts {
+			_, i, _ := agent.SplitTask(s.Task)
+			if i >= n || recorded[i] {
+				t.Fatalf("%s was started: the job has %d tasks, recorded %v", s.Task, n, recorded[i])
+			}
+			started[s.Task] = true
+		}
+		if len(started) != n-len(recorded) {
+			t.Fatalf("%d of %d tasks were started", len(started), n-len(recorded))
+		}
+	})
+}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -4,7 +4,6 @@
 	"log/slog"
 	"math/rand/v2"
 	"sort"
-	"strings"
 
 	"cleatpick/internal/agent"
 	"cleatpick/internal/config"
@@ -49,26 +48,26 @@
 	teams   map[string]*team
 	on      map[string]map[ref]struct{} // tasks in use by machine
 	health  *health
+	fleet   *fleet
 	placing bool
+	took    loop.Micros // how long the newest pass took
+	scratch []victim
 
+	commitAt loop.Micros // when the next commit is due; 0: none
 	zoneMemo map[string]string
-	heard    map[string]loop.Micros
-	avoid    map[string]loop.Micros            // machines that just dropped a start of ours
-	images   map[string]map[string]loop.Micros // images seen in use on a machine
 	nonce    uint64
 	lastWant []peer.Want
 	usage    map[string]peer.Usage
 	pre      preemptor
-	runs     map[string]runs
 	checked  map[string]loop.Micros
 }
 
 // New makes the placer.
 func New(r loop.Runner, c *store.Client, log *slog.Logger, cfg *config.Config, n Node, book *job.Book, a *agent.Agent) *Placer {
 	p := &Placer{r: r, c: c, log: log, cfg: cfg, n: n, book: book, agent: a, teams: map[string]*team{}, on: map[string]map[ref]struct{}{},
-		health: newHealth(), zoneMemo: map[string]string{}, heard: map[string]loop.Micros{}, avoid: map[string]loop.Micros{},
-		images: map[string]map[string]loop.Micros{}, nonce: rand.Uint64() >> 1, usage: map[string]peer.Usage{},
-		pre: preemptor{stopped: map[attempt]loop.Micros{}}, runs: map[string]runs{}, checked: map[string]loop.Micros{}}
+		health: newHealth(), fleet: newFleet(), zoneMemo: map[string]string{}, nonce: rand.Uint64() >> 1, usage: map[string]peer.Usage{},
+		pre:     preemptor{claimed: map[*slot]struct{}{}, held: map[string]int{}, stopped: map[attempt]loop.Micros{}},
+		checked: map[string]loop.Micros{}}
 	loop.Every(r, 400*loop.Millisecond, p.tick)
 	return p
 }
@@ -88,131 +87,31 @@
 	if !ok {
 		return
 	}
-	tm := &team{cfg: cfg, claim: claim, jobs: map[string]*table{}}
+	tm := &team{cfg: cfg, claim: claim, jobs: map[string]*table{}, log: journal{closed: map[int]*segment{}}}
 	p.teams[name] = tm
 	p.load(tm)
 }
 
 func (p *Placer) forgetTable(t *table) {
-	for _, c := range t.chunks {
-		for i := range c.tasks {
-			if c.tasks[i].inUse() {
-				m := c.tasks[i].machine
-				delete(p.on[m], ref{t, c.no*chunkSize + i})
-				if len(p.on[m]) == 0 {
-					delete(p.on, m)
-				}
+	t.each(func(i int, x *task) {
+		if x.inUse() {
+			delete(p.on[x.machine], ref{t, i})
+			if len(p.on[x.machine]) == 0 {
+				delete(p.on, x.machine)
 			}
 		}
-	}
-	delete(t.team.jobs, t.j.ID)
-}
-
-// load reads what earlier owners recorded. The claim was stored before, and every
-// record is conditioned on its claim, so nothing can be added behind this read.
-func (p *Placer) load(tm *team) {
-	if p.teams[tm.cfg.Name] != tm {
-		return
-	}
-	prefix := tableKeys + tm.cfg.Name + "/"
-	p.c.Scan(store.Placements, prefix, func(items []wire.Item, _ uint64, ok bool) {
-		if p.teams[tm.cfg.Name] != tm {
-			return
+		if x.seg != nil {
+			x.seg.live--
+			x.seg = nil
 		}
-		if !ok {
-			p.r.After(300*loop.Millisecond, func() { p.load(tm) })
-			return
-		}
-		var unknown []string
-		for _, it := range items {
-			id := strings.Split(strings.TrimPrefix(it.Key, prefix), "/")[0]
-			if p.book.Get(id) == nil {
-				unknown = append(unknown, id)
-			}
-		}
-		if len(unknown) > 0 {
-			// The table is there, so the job is: only the copy here lags.
-			for _, id := range unknown {
-				p.book.Refresh(id)
-			}
-			p.r.After(300*loop.Millisecond, func() { p.load(tm) })
-			return
-		}
-		for _, it := range items {
-			p.loadChunk(tm, prefix, it)
-		}
-		tm.loaded = true
-		p.book.Each(func(j *job.Job) { p.Job(j) })
-		n := 0
-		for _, t := range tm.jobs {
-			n += t.inUse
-		}
-		p.log.Info("team loaded", "team", tm.cfg.Name, "jobs", len(tm.jobs), "tasks", n)
-		for _, t := range tm.jobs {
-			p.maybeDone(t)
-		}
-		p.agent.Views(p.View)
-		p.Kick()
 	})
-}
-
-func (p *Placer) loadChunk(tm *team, prefix string, it wire.Item) {
-	parts := strings.Split(strings.TrimPrefix(it.Key, prefix), "/")
-	var rec chunkRecord
-	no := 0
-	bad := len(parts) != 2 || wire.Unmarshal(it.Value, &rec) != nil
-	if !bad {
-		for _, c := range parts[1] {
-			no = no*10 + int(c-'0')
-		}
-	}
-	j := p.book.Get(parts[0])
-	if bad || j == nil || no < 0 || no*chunkSize >= 1<<20 {
-		p.log.Error("corrupt record set aside", "key", it.Key)
-		if j != nil {
-			t := p.tableOf(tm, j)
-			if t != nil {
-				t.holdOff = 1 << 62 // nothing is started on the account of a table that cannot be read
-			}
-		}
-		return
-	}
-	if j.Phase == job.Done || j.Spec == nil {
-		return
-	}
-	t := p.tableOf(tm, j)
-	c := t.chunkOf(no * chunkSize)
-	c.mark = it.Mark
-	for _, z := range rec.Zone {
-		p.zoneMemo[z.Machine] = z.Zone
-	}
-	for _, e := range rec.Tasks {
-		i := no*chunkSize + e.Index
-		if e.Index < 0 || e.Index >= chunkSize || i >= j.Tasks {
-			p.log.Error("corrupt entry set aside", "key", it.Key, "index", e.Index)
-			continue
-		}
-		x := t.task(i)
-		x.attempt = e.Attempt
-		switch e.State {
-		case storedPlaced:
-			x.machine, x.session, x.expiry = e.Machine, e.Session, e.Expiry
-			p.setTask(t, i, Placed)
-		case storedDone:
-			p.setTask(t, i, Completed)
-		default:
-			t.back = append(t.back, i)
-		}
-	}
-	for t.next < j.Tasks && t.touched(t.next) {
-		t.next++
-	}
+	delete(t.team.jobs, t.j.ID)
 }
 
 func (p *Placer) tableOf(tm *team, j *job.Job) *table {
 	t := tm.jobs[j.ID]
 	if t == nil {
-		t = &table{j: j, team: tm, chunks: map[int]*chunk{}, zones: map[string]int{}, failedOn: map[string]bool{}}
+		t = &table{j: j, team: tm, blocks: make([]*[blockSize]task, (j.Tasks+blockSize-1)/blockSize), zones: map[string]int{}, failedOn: map[string]bool{}}
 		tm.jobs[j.ID] = t
 	}
 	return t
@@ -244,35 +143,21 @@
 // final winds a job up that is over: what may still be on a machine is stopped,
 // and counts until it is proven off.
 func (p *Placer) final(t *table) {
-	for _, c := range t.chunks {
-		for k := range c.tasks {
-			i := c.no*chunkSize + k
-			x := &c.tasks[k]
-			if x.state == Recording || (x.state == Placed && x.ours && x.sentTo == "") {
-				p.setTask(t, i, Waiting) // no start was ever sent
-			} else if x.state == Placed {
-				p.stop(t, i, 0)
-			}
+	t.each(func(i int, x *task) {
+		if x.state == Recording || (x.state == Placed && x.ours && x.sentTo == "") {
+			p.setTask(t, i, Waiting) // no start was ever sent
+		} else if x.state == Placed {
+			p.stop(t, i, 0)
 		}
-	}
-	if t.inUse == 0 {
-		p.forgetTable(t)
-		p.sweep(t)
-	}
+	})
+	p.wound(t)
 	p.Kick()
 }
 
-// sweep removes the table of a job that is over.
-func (p *Placer) sweep(t *table) {
-	var txn wire.Txn
-	for no, c := range t.chunks {
-		if c.mark != 0 && len(txn.Then) < p.cfg.Cluster.State.TxnOps {
-			txn.Then = append(txn.Then, wire.Change{Delete: chunkKey(t.team.cfg.Name, t.j.ID, no)})
-		}
-	}
-	if len(txn.Then) > 0 && t.j.Phase == job.Withdrawn {
-		txn.If = []wire.Cond{member.ClaimCond(t.team.cfg.Name, t.team.claim)}
-		p.c.Txn(store.Background, txn, func(store.Result) {})
+// wound forgets the table of a job that is over once nothing of it can be on a machine.
+func (p *Placer) wound(t *table) {
+	if t.j.Final() && t.inUse == 0 {
+		p.forgetTable(t)
 	}
 }
 
@@ -291,25 +176,11 @@
 // View takes in a machine's newer view: what became of the tasks recorded on it.
 func (p *Placer) View(v *agent.View) {
 	now := p.r.Now()
-	p.heard[v.Name] = now
 	p.zoneMemo[v.Name] = v.Zone
+	sl := p.fleet.view(v, now)
 	p.health.view(now, v)
-	p.noteRuns(v)
-	im := p.images[v.Name]
-	if im == nil {
-		im = map[string]loop.Micros{}
-		p.images[v.Name] = im
-	}
-	for i := range v.Tasks {
-		t := &v.Tasks[i]
-		if t.State == wire.TaskRunning || t.State == wire.TaskSaving {
-			if id, _, ok := agent.SplitTask(t.Task); ok {
-				if j := p.book.Get(id); j != nil && j.Spec != nil {
-					im[j.Spec.Image] = now
-				}
-			}
-		}
-	}
+	sl.shut = max(sl.shut, p.health.until(v.Name))
+	sl.noteRuns(v, p.agent.Jobs(v), now)
 	for r := range p.on[v.Name] {
 		p.judge(r.t, r.i, v)
 	}
@@ -376,7 +247,7 @@
 	switch {
 	case e.Why == wire.WhyDone && !t.j.Spec.Service:
 		p.setTask(t, i, Ended)
-		p.dirty(t, t.chunkOf(i), 500*loop.Millisecond)
+		p.recordOutcome(t, i)
 		t.failures = 0
 		p.maybeDone(t)
 	case e.Why == wire.WhyError:
@@ -398,10 +269,7 @@
 	default:
 		p.off(t, i, e.Why)
 	}
-	if t.j.Final() && t.inUse == 0 {
-		p.forgetTable(t)
-		p.sweep(t)
-	}
+	p.wound(t)
 }
 
 // answerLife is how long a worker waits for the answer to its report, and so how
@@ -427,10 +295,7 @@
 	x := t.task(i)
 	p.log.Debug("task off", "task", t.name(i), "machine", x.machine, "attempt", x.attempt, "why", why)
 	p.setTask(t, i, Waiting)
-	if t.j.Final() && t.inUse == 0 {
-		p.forgetTable(t)
-		p.sweep(t)
-	}
+	p.wound(t)
 }
 
 // forgets asks a machine to forget ended tasks whose outcome is kept or of no use.
@@ -472,10 +337,13 @@
 			p.off(r.t, r.i, "machine gone")
 		}
 	}
-	delete(p.images, machine)
-	delete(p.runs, machine)
+	if sl := p.fleet.slots[machine]; sl != nil {
+		for len(sl.claims) > 0 {
+			p.dropClaim(sl, 0)
+		}
+		p.fleet.gone(machine)
+	}
 	delete(p.checked, machine)
-	delete(p.heard, machine)
 	p.health.gone(machine)
 	p.Kick()
 }
@@ -496,150 +364,29 @@
 	}
 	t := tm.jobs[id]
 	x := t.task(i)
-	if x.state != Placed || x.attempt != d.Attempt || x.machine != d.Machine {
+	if x.attempt != d.Attempt || x.machine != d.Machine {
 		return
 	}
-	// Proof only if no other host was ever given this start.
-	if x.ours && !x.spread && x.sentTo == from && !x.seen {
-		p.avoid[d.Machine] = p.r.Now() + 300*loop.Millisecond
-		p.off(t, i, "dropped: "+d.Why)
-		p.Kick()
-	}
-}
-
-// dirty marks a chunk to be written within d.
-func (p *Placer) dirty(t *table, c *chunk, d loop.Micros) {
-	due := p.r.Now() + d
-	switch c.state {
-	case chunkClean:
-		c.state, c.due = chunkDirty, due
-	case chunkDirty:
-		c.due = min(c.due, due)
-	case chunkWriting:
-		c.state, c.due = chunkWritingDirty, due
-	case chunkWritingDirty:
-		c.due = min(c.due, due)
-	}
-	if d == 0 {
-		p.write(t, c)
-	} else {
-		p.r.After(d, func() { p.write(t, c) })
-	}
-}
-
-// write stores a chunk that is due, on the conditions that this node still owns
-// the team, that the job is as known here, and that nothing else was written.
-func (p *Placer) write(t *table, c *chunk) {
-	if c.state != chunkDirty || p.r.Now() < c.due || p.teams[t.team.cfg.Name] != t.team || t.j.Final() || t.closing {
-		return
-	}
-	p.nonce++
-	c.nonce = p.nonce
-	expiry := p.r.Wall() + loop.Seconds(p.cfg.Operator.StartLifeS)
-	for i := range c.tasks {
-		if c.tasks[i].state == Recording {
-			c.tasks[i].expiry = expiry
-		}
-	}
-	rec := p.snapshot(t, c)
-	c.state = chunkWriting
-	p.store(t, c, rec)
-}
-
-func (p *Placer) store(t *table, c *chunk, rec chunkRecord) {
-	key := chunkKey(t.team.cfg.Name, t.j.ID, c.no)
-	prio := store.Results
-	for i := range c.tasks {
-		if c.tasks[i].state == Recording {
-			prio = store.Placements
-			break
+	if d.Reserve {
+		// Another owner took the room first. Where no record was taken yet, none is
+		// needed. Afterwards the refusal proves nothing: the start may be on its way,
+		// and taking one for the other let tasks run twice.
+		if x.state == Recording && x.expiry == 0 {
+			p.shut(d.Machine)
+			p.off(t, i, "reservation refused: "+d.Why)
+			p.Kick()
 		}
-	}
-	again := func(d loop.Micros) { p.r.After(d, func() { p.store(t, c, rec) }) }
-	if p.teams[t.team.cfg.Name] != t.team || t.j.Final() {
 		return
 	}
-	mark := c.mark
-	p.c.Txn(prio, wire.Txn{
-		If:   []wire.Cond{member.ClaimCond(t.team.cfg.Name, t.team.claim), job.Cond(t.j), {Key: key, Mark: mark}},
-		Then: []wire.Change{{Put: key, Value: rec}},
-	}, func(r store.Result) {
-		if p.teams[t.team.cfg.Name] != t.team || t.team.jobs[t.j.ID] != t {
-			return
-		}
-		switch r.Outcome {
-		case store.Applied:
-			c.mark = r.Tally
-			p.stored(t, c, rec)
-		case store.Conflict:
-			for _, k := range r.Failed {
-				switch k {
-				case key:
-					p.reread(t, c, rec)
-					return
-				case job.Keys + t.j.ID:
-					p.book.Refresh(t.j.ID)
-				}
-			}
-			again(250 * loop.Millisecond)
-		case store.Invalid:
-			p.log.Error("table record refused", "key", key)
-			again(5 * loop.Second)
-		default:
-			// It may have been stored, or may be later: only this same record
-			// is tried until the answer is certain.
-			again(150 * loop.Millisecond)
-		}
-	})
-}
-
-// reread finds out whether an unanswered write of this record was carried out after all.
-func (p *Placer) reread(t *table, c *chunk, rec chunkRecord) {
-	key := chunkKey(t.team.cfg.Name, t.j.ID, c.no)
-	p.c.Get(store.Placements, key, func(it wire.Item, found, ok bool) {
-		if p.teams[t.team.cfg.Name] != t.team || t.team.jobs[t.j.ID] != t {
-			return
-		}
-		var have chunkRecord
-		switch {
-		case !ok || (found && wire.Unmarshal(it.Value, &have) != nil):
-			p.r.After(200*loop.Millisecond, func() { p.reread(t, c, rec) })
-		case found && have.Nonce == rec.Nonce:
-			c.mark = it.Mark
-			p.stored(t, c, rec)
-		default:
-			c.mark = it.Mark // 0 when absent
-			p.store(t, c, rec)
-		}
-	})
-}
-
-// stored takes in that a chunk's record is in the store: now its starts may go out.
-func (p *Placer) stored(t *table, c *chunk, rec chunkRecord) {
-	wasDirty := c.state == chunkWritingDirty
-	c.state = chunkClean
-	for _, e := range rec.Tasks {
-		i := c.no*chunkSize + e.Index
-		x := t.task(i)
-		switch {
-		case e.State == storedPlaced && x.state == Recording && x.attempt == e.Attempt:
-			x.ours = true
-			p.setTask(t, i, Placed)
-			if t.j.Final() {
-				p.setTask(t, i, Waiting)
-			} else {
-				p.sendStart(t, i)
-			}
-		case e.State == storedDone && x.state == Ended:
-			p.setTask(t, i, Completed)
-		}
+	if x.state != Placed {
+		return
 	}
-	if wasDirty {
-		due := c.due
-		c.state, c.due = chunkDirty, due
-		p.r.After(max(due-p.r.Now(), 0), func() { p.write(t, c) })
+	// Proof only if no other host was ever given this start.
+	if x.ours && !x.spread && x.sentTo == from && !x.seen {
+		p.shut(d.Machine)
+		p.off(t, i, "dropped: "+d.Why)
+		p.Kick()
 	}
-	p.maybeDone(t)
 }
 
 func (p *Placer) sendStart(t *table, i int) {
@@ -659,8 +406,7 @@
 	p.n.Start(v.Host, agent.Start{Machine: x.machine, Session: x.session, Task: t.name(i), Attempt: x.attempt, Expiry: x.expiry, From: p.n.Label})
 }
 
-// maybeDone stores a job's completion once all its tasks have completed. The
-// same transaction removes what it can of the table, which nobody needs then.
+// maybeDone stores a job's completion once all its tasks have completed.
 func (p *Placer) maybeDone(t *table) {
 	if t.closing || t.j.Final() || t.j.Spec.Service || t.completed < t.j.Tasks || !t.team.loaded {
 		return
@@ -675,11 +421,6 @@
 	}
 	ch := job.DoneChange(t.j)
 	txn := wire.Txn{If: []wire.Cond{member.ClaimCond(t.team.cfg.Name, t.team.claim), job.Cond(t.j)}, Then: []wire.Change{ch}}
-	for no, c := range t.chunks {
-		if len(txn.Then) < min(p.cfg.Cluster.State.TxnOps, 4) && c.mark != 0 {
-			txn.Then = append(txn.Then, wire.Change{Delete: chunkKey(t.team.cfg.Name, t.j.ID, no)})
-		}
-	}
 	p.c.Txn(store.Answers, txn, func(r store.Result) {
 		if p.teams[t.team.cfg.Name] != t.team {
 			return
@@ -698,6 +439,13 @@
 	})
 }
 
+// shut keeps a machine out of the choice for a moment, until its newer view is here.
+func (p *Placer) shut(machine string) {
+	if sl := p.fleet.slots[machine]; sl != nil {
+		sl.shut = max(sl.shut, p.r.Now()+300*loop.Millisecond)
+	}
+}
+
 // tick repeats what may have been lost and tells others what they need.
 func (p *Placer) tick() {
 	now, wall := p.r.Now(), p.r.Wall()
@@ -795,13 +543,14 @@
 	}
 }
 
-// Kick asks for a placement pass soon; many causes share one.
+// Kick asks for a placement pass soon; many causes share one, the more the longer a
+// pass takes, so that passes leave most of the node's time to everything else.
 func (p *Placer) Kick() {
 	if p.placing {
 		return
 	}
 	p.placing = true
-	p.r.After(8*loop.Millisecond, func() {
+	p.r.After(min(8*loop.Millisecond+6*p.took, 400*loop.Millisecond), func() {
 		p.placing = false
 		p.place()
 	})
@@ -811,7 +560,7 @@
 	t := peer.Tally{Wall: p.r.Wall(), Wants: p.lastWant}
 	now := p.r.Now()
 	for m := range p.on {
-		if h, ok := p.heard[m]; !ok || now-h > 2*loop.Seconds(p.cfg.Cluster.Workers.ReportS)+3*loop.Second {
+		if sl := p.fleet.slots[m]; sl == nil || now-sl.heard > p.staleAfter() {
 			t.Suspect = append(t.Suspect, m)
 		}
 	}
--- a/internal/placer/preempt.go
+++ b/internal/placer/preempt.go
@@ -1,6 +1,8 @@
 package placer
 
 import (
+	"cmp"
+	"slices"
 	"sort"
 
 	"cleatpick/internal/agent"
@@ -12,64 +14,80 @@
 
 // preemptor remembers what was stopped for whom.
 type preemptor struct {
-	claims  []peer.Claim
+	claimed map[*slot]struct{}      // machines with claims
+	held    map[string]int          // claims by job
 	stopped map[attempt]loop.Micros // task and attempt: asked to stop, and until when that counts
 	nextRun loop.Micros
 	news    []peer.Claim
 }
 
-// runs remembers since when each task of a machine was seen running.
-type runs map[string]runSince
-
 type runSince struct {
 	attempt uint64
 	since   loop.Micros
 }
 
-// noteRuns follows a view; what a stop would lose is judged by it.
-func (p *Placer) noteRuns(v *agent.View) {
-	old := p.runs[v.Name]
-	now := p.r.Now()
-	fresh := runs{}
+// noteRuns follows a view: since when its tasks run, by which is judged what a stop
+// would lose, and which images they use.
+func (sl *slot) noteRuns(v *agent.View, jobs []*job.Job, now loop.Micros) {
+	n := 0
 	for i := range v.Tasks {
 		t := &v.Tasks[i]
-		if t.State != wire.TaskRunning {
+		if t.State != wire.TaskRunning && t.State != wire.TaskSaving {
 			continue
 		}
-		if o, ok := old[t.Task]; ok && o.attempt == t.Attempt {
-			fresh[t.Task] = o
-		} else {
-			fresh[t.Task] = runSince{t.Attempt, now}
+		if j := jobs[i]; j != nil && j.Spec != nil {
+			sl.images[j.Spec.Image] = now
+		}
+		if t.State == wire.TaskRunning {
+			n++
+			if o, ok := sl.runs[t.Task]; !ok || o.attempt != t.Attempt {
+				sl.runs[t.Task] = runSince{t.Attempt, now}
+			}
+		}
+	}
+	if len(sl.runs) > n {
+		for task, r := range sl.runs {
+			if x := v.Find(task, r.attempt); x == nil || x.State != wire.TaskRunning {
+				delete(sl.runs, task)
+			}
 		}
 	}
-	p.runs[v.Name] = fresh
 }
 
-// LearnClaims takes in what other owners stopped tasks for.
-func (p *Placer) LearnClaims(cs []peer.Claim) {
-	p.pre.claims = append(p.pre.claims, cs...)
+// addClaim keeps room on a machine for a job.
+func (p *Placer) addClaim(c peer.Claim) {
+	sl := p.fleet.slots[c.Machine]
+	if sl == nil {
+		return // nothing is placed here on a machine that was not heard
+	}
+	sl.claims = append(sl.claims, c)
+	p.pre.claimed[sl] = struct{}{}
+	p.pre.held[c.Job]++
 }
 
-// roomFor is what a machine has free for a job beside the room that is kept for
-// other jobs of at least its priority.
-func (p *Placer) roomFor(sl *slot, t *table) agent.Room {
-	r := sl.room
-	for i := range p.pre.claims {
-		c := &p.pre.claims[i]
-		if c.Machine == sl.v.Name && c.Job != t.j.ID && c.Priority >= int(t.j.Spec.Priority) {
-			r.CPUs -= c.CPUs
-			r.GPUs -= c.GPUs
-			r.MemoryGB -= c.MemoryGB
-		}
+func (p *Placer) dropClaim(sl *slot, i int) {
+	id := sl.claims[i].Job
+	if p.pre.held[id]--; p.pre.held[id] <= 0 {
+		delete(p.pre.held, id)
+	}
+	sl.claims = append(sl.claims[:i], sl.claims[i+1:]...)
+	if len(sl.claims) == 0 {
+		delete(p.pre.claimed, sl)
+	}
+}
+
+// LearnClaims takes in what other owners stopped tasks for.
+func (p *Placer) LearnClaims(cs []peer.Claim) {
+	for _, c := range cs {
+		p.addClaim(c)
 	}
-	return r
 }
 
 // useClaim takes a claim of the job on this machine away, since a task took the room.
-func (p *Placer) useClaim(machine, id string) {
-	for i := range p.pre.claims {
-		if c := &p.pre.claims[i]; c.Machine == machine && c.Job == id {
-			p.pre.claims = append(p.pre.claims[:i], p.pre.claims[i+1:]...)
+func (p *Placer) useClaim(sl *slot, id string) {
+	for i := range sl.claims {
+		if sl.claims[i].Job == id {
+			p.dropClaim(sl, i)
 			return
 		}
 	}
@@ -77,13 +95,13 @@
 
 func (p *Placer) expireClaims() {
 	wall, now := p.r.Wall(), p.r.Now()
-	kept := p.pre.claims[:0]
-	for _, c := range p.pre.claims {
-		if wall < c.Until {
-			kept = append(kept, c)
+	for sl := range p.pre.claimed {
+		for i := len(sl.claims) - 1; i >= 0; i-- {
+			if wall >= sl.claims[i].Until {
+				p.dropClaim(sl, i)
+			}
 		}
 	}
-	p.pre.claims = kept
 	for k, until := range p.pre.stopped {
 		if now > until {
 			delete(p.pre.stopped, k)
@@ -112,24 +130,24 @@
 }
 
 // victims lists what may be stopped on a machine, the least loss first.
-func (p *Placer) victims(t *table, v *agent.View, within bool, excess map[string]float64) []victim {
-	var out []victim
+func (p *Placer) victims(out []victim, t *table, sl *slot, within bool, excess map[string]float64) []victim {
 	now := p.r.Now()
 	urgent := t.j.Spec.Priority >= job.High
-	for i := range v.Tasks {
-		x := &v.Tasks[i]
+	for i := range sl.v.Tasks {
+		x := &sl.v.Tasks[i]
 		if x.State != wire.TaskRunning && x.State != wire.TaskFetching {
 			continue
 		}
-		if _, was := p.pre.stopped[attemptOf(x)]; was {
+		j := sl.jobs[i]
+		if j == nil || j.Spec == nil || !p.mayStop(t, j.Spec, within, excess) {
 			continue
 		}
-		s := p.specOf(x.Task)
-		if s == nil || !p.mayStop(t, s, within, excess) {
+		if _, was := p.pre.stopped[attemptOf(x)]; was {
 			continue
 		}
+		s := j.Spec
 		var ran loop.Micros
-		if r, ok := p.runs[v.Name][x.Task]; ok && r.attempt == x.Attempt {
+		if r, ok := sl.runs[x.Task]; ok && r.attempt == x.Attempt {
 			ran = now - r.since
 		}
 		y := victim{task: x, spec: s}
@@ -146,7 +164,7 @@
 		}
 		out = append(out, y)
 	}
-	sort.SliceStable(out, func(a, b int) bool { return out[a].loss < out[b].loss })
+	slices.SortStableFunc(out, func(a, b victim) int { return cmp.Compare(a.loss, b.loss) })
 	return out
 }
 
@@ -158,57 +176,94 @@
 
 func attemptOf(t *agent.Task) attempt { return attempt{t.Task, t.Attempt} }
 
-// preempt makes room for the waiting tasks of a job that found none.
-func (p *Placer) preempt(t *table, slots []*slot, want int, within bool, excess map[string]float64) {
-	for i := range p.pre.claims {
-		if p.pre.claims[i].Job == t.j.ID {
-			want-- // room for it is being made already
-		}
+// option is what making room for one task on a machine takes.
+type option struct {
+	sl   *slot
+	set  []victim
+	cost float64
+}
+
+// optionOn finds the cheapest stops on a machine that make room for a task of the job.
+func (p *Placer) optionOn(t *table, sl *slot, within bool, excess map[string]float64) (option, bool) {
+	s := t.j.Spec
+	o := option{sl: sl}
+	if !allowed(t, sl.v) {
+		return o, false
+	}
+	p.scratch = p.victims(p.scratch[:0], t, sl, within, excess)
+	if len(p.scratch) == 0 {
+		return o, false
+	}
+	room := sl.beside(t)
+	if !sl.hasImage(s.Image) {
+		o.cost = 20 * s.CPUs
+	}
+	n := 0
+	for n < len(p.scratch) && !room.Fits(s) {
+		room.Give(p.scratch[n].spec)
+		o.cost += p.scratch[n].loss
+		n++
+	}
+	if n == 0 || !room.Fits(s) {
+		return o, false
+	}
+	o.set = slices.Clone(p.scratch[:n])
+	return o, true
+}
+
+// preempt makes room for the waiting tasks of a job that found none. The machines are
+// gone through once; only the one that was chosen is looked at again.
+func (p *Placer) preempt(t *table, want int, within bool, excess map[string]float64) {
+	want -= p.pre.held[t.j.ID] // room for these is being made already
+	if want <= 0 {
+		return
 	}
 	s := t.j.Spec
-	for ; want > 0; want-- {
-		var best *slot
-		var bestSet []victim
-		bestCost := 1e18
-		for _, sl := range slots {
-			if !allowed(t, sl.v) {
-				continue
-			}
-			room := p.roomFor(sl, t)
-			cost := 0.0
-			if _, ok := p.images[sl.v.Name][s.Image]; !ok {
-				cost = 20 * s.CPUs
-			}
-			var set []victim
-			for _, y := range p.victims(t, sl.v, within, excess) {
-				if room.Fits(s) {
-					break
-				}
-				room.Give(y.spec)
-				cost += y.loss
-				set = append(set, y)
-			}
-			if len(set) > 0 && room.Fits(s) && cost < bestCost {
-				best, bestSet, bestCost = sl, set, cost
-			}
+	now := p.r.Now()
+	after := now - p.staleAfter()
+	var all []option
+	for _, sl := range p.fleet.order {
+		if !sl.open(after, now) {
+			continue
 		}
-		if best == nil {
-			return
+		if o, ok := p.optionOn(t, sl, within, excess); ok {
+			all = append(all, o)
 		}
+	}
+	cheapest := func(a, b option) int { return cmp.Compare(a.cost, b.cost) }
+	slices.SortStableFunc(all, cheapest)
+	for want > 0 && len(all) > 0 {
+		best := all[0]
+		// What was stopped since for this job may have used up another team's excess.
+		o, ok := p.optionOn(t, best.sl, within, excess)
+		if all = all[1:]; !ok {
+			continue
+		}
+		if o.cost > best.cost {
+			i, _ := slices.BinarySearchFunc(all, o, cheapest)
+			all = slices.Insert(all, i, o)
+			continue
+		}
+		want--
 		wait := loop.Micros(0)
-		for _, y := range bestSet {
+		for _, y := range o.set {
 			wait = max(wait, y.grace)
 			excess[y.spec.Team] -= y.spec.CPUs
-			best.room.Give(y.spec)
-			p.pre.stopped[attemptOf(y.task)] = p.r.Now() + y.grace + 5*loop.Second
-			p.log.Debug("preempt", "task", y.task.Task, "machine", best.v.Name, "for", t.j.ID, "grace_us", y.grace)
-			p.n.Stop(best.v.Host, agent.Stop{Machine: best.v.Name, Task: y.task.Task, Attempt: y.task.Attempt, Grace: y.grace})
+			o.sl.room.Give(y.spec)
+			p.pre.stopped[attemptOf(y.task)] = now + y.grace + 5*loop.Second
+			p.log.Debug("preempt", "task", y.task.Task, "machine", o.sl.v.Name, "for", t.j.ID, "grace_us", y.grace)
+			p.n.Stop(o.sl.v.Host, agent.Stop{Machine: o.sl.v.Name, Task: y.task.Task, Attempt: y.task.Attempt, Grace: y.grace})
 		}
-		best.room.Take(s)
-		c := peer.Claim{Machine: best.v.Name, Job: t.j.ID, Priority: int(s.Priority), CPUs: s.CPUs, GPUs: s.GPUs, MemoryGB: s.MemoryGB,
+		o.sl.room.Take(s)
+		p.fleet.touch(o.sl)
+		c := peer.Claim{Machine: o.sl.v.Name, Job: t.j.ID, Priority: int(s.Priority), CPUs: s.CPUs, GPUs: s.GPUs, MemoryGB: s.MemoryGB,
 			Until: p.r.Wall() + wait + 4*loop.Second}
-		p.pre.claims = append(p.pre.claims, c)
+		p.addClaim(c)
 		p.pre.news = append(p.pre.news, c)
+		if again, ok := p.optionOn(t, o.sl, within, excess); ok {
+			i, _ := slices.BinarySearchFunc(all, again, cheapest)
+			all = slices.Insert(all, i, again)
+		}
 	}
 }
 
--- a/internal/placer/table.go
+++ b/internal/placer/table.go
@@ -4,8 +4,6 @@
 package placer
 
 import (
-	"fmt"
-
 	"cleatpick/internal/agent"
 	"cleatpick/internal/config"
 	"cleatpick/internal/job"
@@ -25,7 +23,9 @@
 	Completed                  // completed, and recorded
 )
 
-const chunkSize = 50
+// blockSize is how many tasks of a job get their memory at once: of the largest arrays,
+// only a part is under way at any time.
+const blockSize = 128
 
 type task struct {
 	state   TaskState
@@ -41,34 +41,17 @@
 	running bool
 	since   loop.Micros // when it was first seen running
 	stopAt  loop.Micros // when a stop was last asked for
+	seg     *segment    // where its newest record stands; nil: never recorded
 }
 
 // inUse tells whether the task counts against its team's limit.
 func (t *task) inUse() bool { return t.state == Recording || t.state == Placed }
 
-type chunkState uint8
-
-const (
-	chunkClean chunkState = iota
-	chunkDirty
-	chunkWriting
-	chunkWritingDirty // changed again while being written
-)
-
-type chunk struct {
-	no    int
-	tasks [chunkSize]task
-	mark  uint64
-	nonce uint64
-	state chunkState
-	due   loop.Micros
-}
-
 type table struct {
 	j         *job.Job
 	team      *team
-	chunks    map[int]*chunk
-	next      int   // the lowest task that was never touched
+	blocks    []*[blockSize]task
+	next      int   // this task and all above it were never touched
 	back      []int // tasks to be placed again
 	inUse     int
 	completed int // ended or completed
@@ -90,6 +73,7 @@
 	jobs   map[string]*table
 	cpus   float64
 	gpus   float64
+	log    journal
 }
 
 type ref struct {
@@ -97,17 +81,28 @@
 	i int
 }
 
-func (t *table) chunkOf(i int) *chunk {
-	n := i / chunkSize
-	c := t.chunks[n]
-	if c == nil {
-		c = &chunk{no: n}
-		t.chunks[n] = c
+func (t *table) task(i int) *task {
+	b := t.blocks[i/blockSize]
+	if b == nil {
+		b = new([blockSize]task)
+		t.blocks[i/blockSize] = b
 	}
-	return c
+	return &b[i%blockSize]
 }
 
-func (t *table) task(i int) *task { return &t.chunkOf(i).tasks[i%chunkSize] }
+// each calls f for the tasks that have memory.
+func (t *table) each(f func(i int, x *task)) {
+	for n, b := range t.blocks {
+		if b == nil {
+			continue
+		}
+		for k := range b {
+			if i := n*blockSize + k; i < t.j.Tasks {
+				f(i, &b[k])
+			}
+		}
+	}
+}
 
 func (t *table) name(i int) string { return agent.TaskName(t.j.ID, i) }
 
@@ -121,18 +116,8 @@
 		t.back = t.back[:n-1]
 		return i
 	}
-	i := t.next
 	t.next++
-	// Skip what was recorded before this ownership began.
-	for t.next < t.j.Tasks && t.touched(t.next) {
-		t.next++
-	}
-	return i
-}
-
-func (t *table) touched(i int) bool {
-	c := t.chunks[i/chunkSize]
-	return c != nil && (c.tasks[i%chunkSize].state != Waiting || c.tasks[i%chunkSize].attempt > 0)
+	return t.next - 1
 }
 
 // setTask is the one place where a task changes state. It keeps the team's use,
@@ -152,6 +137,7 @@
 		t.team.cpus += float64(sign) * spec.CPUs
 		t.team.gpus += float64(sign) * spec.GPUs
 		t.zones[zone] += sign
+		p.fleet.touch(p.fleet.slots[x.machine])
 		r := ref{t, i}
 		if in {
 			on := p.on[x.machine]
@@ -189,63 +175,3 @@
 // zoneOf is remembered beyond a machine's life, since counts by zone must not
 // change while a task is in use.
 func (p *Placer) zoneOf(machine string) string { return p.zoneMemo[machine] }
-
-// entry is a task in a stored chunk: index, state, attempt, machine, session, expiry.
-type entry struct {
-	_       struct{} `cbor:",toarray"`
-	Index   int
-	State   int
-	Attempt uint64
-	Machine string
-	Session uint64
-	Expiry  int64
-}
-
-const (
-	storedPlaced = 1
-	storedDone   = 2
-)
-
-type chunkRecord struct {
-	Nonce uint64  `cbor:"w"`
-	Zone  []zoned `cbor:"z"`
-	Tasks []entry `cbor:"t"`
-}
-
-// zoned names a machine's zone, for tasks whose machine is not heard any more.
-type zoned struct {
-	_       struct{} `cbor:",toarray"`
-	Machine string
-	Zone    string
-}
-
-const tableKeys = "x/"
-
-func chunkKey(team, id string, no int) string {
-	return fmt.Sprintf("%s%s/%s/%05d", tableKeys, team, id, no)
-}
-
-func (p *Placer) snapshot(t *table, c *chunk) chunkRecord {
-	rec := chunkRecord{Nonce: c.nonce, Zone: []zoned{}, Tasks: []entry{}}
-	named := map[string]bool{}
-	for i := range c.tasks {
-		x := &c.tasks[i]
-		e := entry{Index: i, Attempt: x.attempt}
-		switch x.state {
-		case Recording, Placed:
-			e.State, e.Machine, e.Session, e.Expiry = storedPlaced, x.machine, x.session, x.expiry
-			if !named[x.machine] {
-				named[x.machine] = true
-				rec.Zone = append(rec.Zone, zoned{Machine: x.machine, Zone: p.zoneOf(x.machine)})
-			}
-		case Ended, Completed:
-			e.State = storedDone
-		default:
-			if x.attempt == 0 {
-				continue
-			}
-		}
-		rec.Tasks = append(rec.Tasks, e)
-	}
-	return rec
-}
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -63,11 +63,12 @@
 }
 
 // Put writes a key past the protocol, as damage would.
-func (s *State) Put(key string, value any) {
+func (s *State) Put(key string, value any) (mark uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.tally++
 	s.put(key, wire.Marshal(value), 0)
+	return s.tally
 }
 
 func (s *State) put(key string, v wire.Raw, lease uint64) {
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -178,6 +178,20 @@
 	return n
 }
 
+// Writable is how many puts could go out at once, with nothing waiting before them.
+func (c *Client) Writable() int {
+	now := c.r.Now()
+	c.reads.fill(now)
+	c.puts.fill(now)
+	if now < c.pauseTo || c.inFlight >= maxInFlight || c.reads.have < 1 || c.Waiting() > 0 {
+		return 0
+	}
+	return int(c.puts.have)
+}
+
+// Burst is the most that Writable ever tells.
+func (c *Client) Burst() int { return int(c.puts.burst) }
+
 // Send queues a request; cb runs on the loop.
 func (c *Client) Send(p Prio, writes int, method, path string, body any, timeout loop.Micros, cb func(Response)) {
 	if p != Leases && c.Waiting() >= maxQueue {
