Preemption still took over half of a pass: look-ups by name, and once every 100 ms

Change: run times stand beside a view's tasks, stops with their machine; looking for what to stop takes at most a twelfth of the time; the tick asks for a pass.

--- a/internal/placer/fleet.go
+++ b/internal/placer/fleet.go
@@ -14,20 +14,22 @@
 
 // slot is a machine as placement sees it.
 type slot struct {
-	v      *agent.View
-	typ    wire.MachineType
-	known  bool // its room is known and it may take starts at all
-	room   agent.Room
-	used   float64
-	cost   float64 // price by CPU
-	dear   float64 // how far that is above the cheapest of all machines here, from 0 to 1
-	heard  loop.Micros
-	shut   loop.Micros            // nothing is placed before
-	images map[string]loop.Micros // images seen in use
-	runs   map[string]runSince    // tasks seen running
-	claims []peer.Claim           // room kept for jobs that tasks were stopped for
-	jobs   []*job.Job             // of the view's tasks
-	stale  bool                   // waits for a refresh
+	v       *agent.View
+	typ     wire.MachineType
+	known   bool // its room is known and it may take starts at all
+	room    agent.Room
+	used    float64
+	cost    float64 // price by CPU
+	dear    float64 // how far that is above the cheapest of all machines here, from 0 to 1
+	heard   loop.Micros
+	shut    loop.Micros            // nothing is placed before
+	images  map[string]loop.Micros // images seen in use
+	runs    map[string]runSince    // tasks seen running
+	claims  []peer.Claim           // room kept for jobs that tasks were stopped for
+	jobs    []*job.Job             // of the view's tasks
+	since   []loop.Micros          // since when each task of the view was seen running
+	stopped []stopping
+	stale   bool // waits for a refresh
 }
 
 // fleet keeps a slot for every machine heard. Slots are brought up to date by refresh,
--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -136,6 +136,10 @@
 		}
 		if stops {
 			p.makeRoom(&e, missed, &b)
+			// Looking for what to stop goes through the whole fleet: the longer that
+			// takes, the less often it is done.
+			done := p.r.Now()
+			p.pre.nextRun = done + max(100*loop.Millisecond, 12*(done-now))
 		}
 		p.lastWant = append(p.lastWant, p.want(t, missed))
 	}
@@ -178,7 +182,6 @@
 	now := p.r.Now()
 	if b.excess == nil {
 		b.excess = p.excesses()
-		p.pre.nextRun = now + 100*loop.Millisecond
 	}
 	// Two teams that both run beyond their guarantees must not stop each other's work
 	// in turn: only one that uses less than its guarantee may claim it.
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -67,7 +67,7 @@
 func New(r loop.Runner, c *store.Client, log *slog.Logger, cfg *config.Config, n Node, book *job.Book, a *agent.Agent) *Placer {
 	p := &Placer{r: r, c: c, log: log, cfg: cfg, n: n, book: book, agent: a, teams: map[string]*team{}, on: map[string]map[ref]struct{}{},
 		health: newHealth(), fleet: newFleet(), zoneMemo: map[string]string{}, nonce: rand.Uint64() >> 1, usage: map[string]peer.Usage{},
-		pre:     preemptor{claimed: map[*slot]struct{}{}, held: map[string]int{}, stopped: map[attempt]loop.Micros{}},
+		pre:     preemptor{claimed: map[*slot]struct{}{}, held: map[string]int{}},
 		checked: map[string]loop.Micros{}}
 	loop.Every(r, 400*loop.Millisecond, p.tick)
 	return p
@@ -181,7 +181,8 @@
 	sl := p.fleet.view(v, now)
 	p.health.view(now, v)
 	sl.shut = max(sl.shut, p.health.until(v.Name))
-	p.turn.freed += sl.noteRuns(v, p.agent.Jobs(v), now)
+	sl.jobs = p.agent.Jobs(v)
+	p.turn.freed += sl.noteRuns(v, sl.jobs, now)
 	for r := range p.on[v.Name] {
 		p.judge(r.t, r.i, v)
 	}
@@ -496,7 +497,7 @@
 	if len(use) > 0 {
 		p.n.Usage(use)
 	}
-	p.place()
+	p.Kick()
 	p.sendTally()
 }
 
--- a/internal/placer/preempt.go
+++ b/internal/placer/preempt.go
@@ -15,9 +15,8 @@
 
 // preemptor remembers what was stopped for whom.
 type preemptor struct {
-	claimed map[*slot]struct{}      // machines with claims
-	held    map[string]int          // claims by job
-	stopped map[attempt]loop.Micros // task and attempt: asked to stop, and until when that counts
+	claimed map[*slot]struct{} // machines with claims
+	held    map[string]int     // claims by job
 	nextRun loop.Micros
 	news    []peer.Claim
 }
@@ -33,6 +32,7 @@
 // It tells how many CPUs fell free by tasks that completed.
 func (sl *slot) noteRuns(v *agent.View, jobs []*job.Job, now loop.Micros) (freed float64) {
 	n := 0
+	sl.since = make([]loop.Micros, len(v.Tasks))
 	for i := range v.Tasks {
 		t := &v.Tasks[i]
 		if t.State == wire.TaskExited && t.Why == wire.WhyDone {
@@ -49,9 +49,12 @@
 		}
 		if t.State == wire.TaskRunning {
 			n++
-			if o, ok := sl.runs[t.Task]; !ok || o.attempt != t.Attempt {
-				sl.runs[t.Task] = runSince{t.Attempt, now}
+			o, ok := sl.runs[t.Task]
+			if !ok || o.attempt != t.Attempt {
+				o = runSince{t.Attempt, now}
+				sl.runs[t.Task] = o
 			}
+			sl.since[i] = o.since
 		}
 	}
 	if len(sl.runs) > n {
@@ -129,7 +132,7 @@
 }
 
 func (p *Placer) expireClaims() {
-	wall, now := p.r.Wall(), p.r.Now()
+	wall := p.r.Wall()
 	for sl := range p.pre.claimed {
 		for i := len(sl.claims) - 1; i >= 0; i-- {
 			if wall >= sl.claims[i].Until {
@@ -137,11 +140,26 @@
 			}
 		}
 	}
-	for k, until := range p.pre.stopped {
-		if now > until {
-			delete(p.pre.stopped, k)
+}
+
+// stopping is a task that was asked to stop, and until when that counts.
+type stopping struct {
+	attempt
+	until loop.Micros
+}
+
+// isStopping tells whether the task was asked to stop lately.
+func (sl *slot) isStopping(t *agent.Task, now loop.Micros) bool {
+	for i := 0; i < len(sl.stopped); i++ {
+		switch x := &sl.stopped[i]; {
+		case now > x.until:
+			sl.stopped = append(sl.stopped[:i], sl.stopped[i+1:]...)
+			i--
+		case x.no == t.Attempt && x.task == t.Task:
+			return true
 		}
 	}
+	return false
 }
 
 // victim is a task that may be stopped, and what that loses.
@@ -165,8 +183,7 @@
 }
 
 // victims lists what may be stopped on a machine, the least loss first.
-func (p *Placer) victims(out []victim, t *table, sl *slot, within bool, excess map[string]float64) []victim {
-	now := p.r.Now()
+func (p *Placer) victims(out []victim, t *table, sl *slot, now loop.Micros, within bool, excess map[string]float64) []victim {
 	urgent := t.j.Spec.Priority >= job.High
 	for i := range sl.v.Tasks {
 		x := &sl.v.Tasks[i]
@@ -177,13 +194,13 @@
 		if j == nil || j.Spec == nil || !p.mayStop(t, j.Spec, within, excess) {
 			continue
 		}
-		if _, was := p.pre.stopped[attemptOf(x)]; was {
+		if sl.isStopping(x, now) {
 			continue
 		}
 		s := j.Spec
 		var ran loop.Micros
-		if r, ok := sl.runs[x.Task]; ok && r.attempt == x.Attempt {
-			ran = now - r.since
+		if sl.since[i] != 0 {
+			ran = now - sl.since[i]
 		}
 		y := victim{task: x, spec: s}
 		switch {
@@ -209,8 +226,6 @@
 	no   uint64
 }
 
-func attemptOf(t *agent.Task) attempt { return attempt{t.Task, t.Attempt} }
-
 // option is what making room for one task on a machine takes.
 type option struct {
 	sl   *slot
@@ -219,13 +234,13 @@
 }
 
 // optionOn finds the cheapest stops on a machine that make room for a task of the job.
-func (p *Placer) optionOn(t *table, sl *slot, within bool, excess map[string]float64) (option, bool) {
+func (p *Placer) optionOn(t *table, sl *slot, now loop.Micros, within bool, excess map[string]float64) (option, bool) {
 	s := t.j.Spec
 	o := option{sl: sl}
 	if !allowed(t, sl.v) {
 		return o, false
 	}
-	p.scratch = p.victims(p.scratch[:0], t, sl, within, excess)
+	p.scratch = p.victims(p.scratch[:0], t, sl, now, within, excess)
 	if len(p.scratch) == 0 {
 		return o, false
 	}
@@ -272,7 +287,7 @@
 		if !sl.open(after, now) {
 			continue
 		}
-		if o, ok := p.optionOn(t, sl, within, excess); ok {
+		if o, ok := p.optionOn(t, sl, now, within, excess); ok {
 			all = append(all, o)
 		}
 	}
@@ -281,7 +296,7 @@
 	for made < want && len(all) > 0 {
 		best := all[0]
 		// What was stopped since for this job may have used up another team's excess.
-		o, ok := p.optionOn(t, best.sl, within, excess)
+		o, ok := p.optionOn(t, best.sl, now, within, excess)
 		if !ok {
 			heap.Pop(&all)
 			continue
@@ -297,7 +312,7 @@
 			wait = max(wait, y.grace)
 			excess[y.spec.Team] -= y.spec.CPUs
 			o.sl.room.Give(y.spec)
-			p.pre.stopped[attemptOf(y.task)] = now + y.grace + 5*loop.Second
+			o.sl.stopped = append(o.sl.stopped, stopping{attempt{y.task.Task, y.task.Attempt}, now + y.grace + 5*loop.Second})
 			p.log.Debug("preempt", "task", y.task.Task, "machine", o.sl.v.Name, "for", t.j.ID, "grace_us", y.grace)
 			p.n.Stop(o.sl.v.Host, agent.Stop{Machine: o.sl.v.Name, Task: y.task.Task, Attempt: y.task.Attempt, Grace: y.grace})
 		}
@@ -307,7 +322,7 @@
 			Until: p.r.Wall() + wait + 4*loop.Second}
 		p.addClaim(c)
 		p.pre.news = append(p.pre.news, c)
-		if again, ok := p.optionOn(t, o.sl, within, excess); ok {
+		if again, ok := p.optionOn(t, o.sl, now, within, excess); ok {
 			all[0] = again
 			heap.Fix(&all, 0)
 		} else {
