Any miss ended all draining; orders kept to a tick; returned nodes got no team back

Change: misses end the draining of as many machines as they need; a fifth is kept free instead of a third; calls use the cloud's burst and a tick of 50 ms; a node that owns two keys more than another for 8 s gives its lightest team back.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -88,6 +88,11 @@
 	alone    bool        // what the others were told of this node's isolation
 	telling  bool
 	evicted  map[string]loop.Micros
+	// Fit tells whether another node is heard and has contact with the state service,
+	// and Weight how much work a team brings; both may be nil.
+	Fit    func(node string) bool
+	Weight func(team string) int
+	uneven loop.Micros // since when this node owns more than its part; 0: it does not
 }
 
 // New makes the membership; Start begins it.
@@ -336,15 +341,11 @@
 		b.handed = now
 		b.handOver()
 	}
+	b.share(now)
 	owned := len(b.mine)
 	nodes := max(len(b.nodes), 1)
 	fair := (len(b.teams) + nodes) / nodes
-	keys := make([]string, 0, len(b.teams)+1)
-	for i := range b.teams {
-		keys = append(keys, teamKeys+b.teams[i])
-	}
-	keys = append(keys, leaderKey)
-	for _, key := range keys {
+	for _, key := range b.keys() {
 		if _, taken := b.m.Get(key); taken || b.asking[key] {
 			continue
 		}
@@ -372,6 +373,65 @@
 	}
 }
 
+// uneven ownership is borne for this long before it is evened out.
+const unevenFor = 8 * loop.Second
+
+// share gives a team to a node that owns at least two keys fewer, as after that node
+// has returned: each node has only its own part of a core and of the state service.
+func (b *Member) share(now loop.Micros) {
+	counts := map[string]int{}
+	for _, key := range b.keys() {
+		if o, ok := b.owner(key); ok {
+			counts[o.Node]++
+		} else {
+			b.uneven = 0 // something is free, and may even it out
+			return
+		}
+	}
+	mine, poorer := len(b.mine), false
+	for node := range b.nodes {
+		if counts[node] > mine || (counts[node] == mine && node < b.label) {
+			b.uneven = 0 // another one gives first
+			return
+		}
+		poorer = poorer || (counts[node]+2 <= mine && b.Fit != nil && b.Fit(node))
+	}
+	switch {
+	case !poorer:
+		b.uneven = 0
+	case b.uneven == 0:
+		b.uneven = now
+	case now-b.uneven >= unevenFor:
+		b.uneven = 0
+		best, least := "", 0
+		for _, team := range b.teams {
+			key := teamKeys + team
+			if _, ok := b.mine[key]; !ok {
+				continue
+			}
+			w := 0
+			if b.Weight != nil {
+				w = b.Weight(team)
+			}
+			if best == "" || w < least {
+				best, least = key, w
+			}
+		}
+		if best != "" {
+			b.giveBack(best, "another node owns less")
+		}
+	}
+}
+
+// keys are all that nodes own by lease.
+func (b *Member) keys() []string {
+	keys := make([]string, 0, len(b.teams)+1)
+	for i := range b.teams {
+		keys = append(keys, teamKeys+b.teams[i])
+	}
+	return append(keys, leaderKey)
+}
+
 // tell lets the others know whether this node hears any of them. The state service
 // is the only way left for that.
 func (b *Member) tell(alone bool) {
@@ -402,16 +462,21 @@
 
 // handOver gives everything owned back, so that others may claim it.
 func (b *Member) handOver() {
-	for key, o := range b.mine {
-		b.log.Info("hands over, since no peer is heard", "key", key)
-		b.c.Txn(store.Leases, wire.Txn{If: []wire.Cond{{Key: key, Mark: o.Mark}}, Then: []wire.Change{{Delete: key}}}, func(r store.Result) {
-			if r.Outcome == store.Applied {
-				b.m.Apply(key, nil, r.Tally, true)
-			}
-		})
+	for key := range b.mine {
+		b.giveBack(key, "no peer is heard")
 	}
 }
 
+// giveBack ends a claim of this node.
+func (b *Member) giveBack(key, why string) {
+	b.log.Info("hands over", "key", key, "why", why)
+	b.c.Txn(store.Leases, wire.Txn{If: []wire.Cond{{Key: key, Mark: b.mine[key].Mark}}, Then: []wire.Change{{Delete: key}}}, func(r store.Result) {
+		if r.Outcome == store.Applied {
+			b.m.Apply(key, nil, r.Tally, true)
+		}
+	})
+}
+
 // evictAgain is how long a node that was evicted is left alone.
 const evictAgain = 60 * loop.Second
 
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -134,3 +134,31 @@
 		t.Fatal("still said to be alone")
 	}
 }
+
+// A node that returns gets a part of the work back, the lighter team, and only once the
+// rest has settled; nothing then moves to and fro.
+func TestReturnedNodeGetsATeam(t *testing.T) {
+	s := standin.NewStepped(100 * loop.Second)
+	state := standin.NewState(func() loop.Micros { return s.Now() })
+	a := nodeOn(s, &tap{state: state}, "a")
+	a.Weight = func(team string) int { return map[string]int{"red": 9, "blue": 2}[team] }
+	fit := false
+	a.Fit = func(string) bool { return fit }
+	s.Run(3 * loop.Second)
+	b := nodeOn(s, &tap{state: state}, "b")
+	b.Fit = func(string) bool { return true }
+	s.Run(20 * loop.Second)
+	if r, u := owners(b); r != "a" || u != "a" {
+		t.Fatalf("teams went to a node that is not heard: %q %q", r, u)
+	}
+	fit = true
+	s.Run(12 * loop.Second)
+	if r, u := owners(a); r != "a" || u != "b" {
+		t.Fatalf("owners are %q and %q, want a and b", r, u)
+	}
+	before, _ := a.TeamOwner("blue")
+	s.Run(60 * loop.Second)
+	if now, _ := b.TeamOwner("blue"); now != before {
+		t.Fatalf("the team moved again: %+v, before %+v", now, before)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -172,6 +172,11 @@
 		n.placer.Job(j)
 	}
 	n.member.Isolated = n.isolated
+	n.member.Fit = func(label string) bool {
+		s, fresh := n.freshPeer(label)
+		return fresh && s.Contact
+	}
+	n.member.Weight = n.placer.InUse
 	n.member.OnOwned = n.placer.Owned
 	n.member.OnLeader = n.rental.Lead
 	n.net.Receive = n.receive
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -539,6 +539,17 @@
 	return job.Counts{Done: int64(t.completed), Running: int64(t.running)}, true
 }
 
+// InUse is the number of an owned team's tasks that may be on machines.
+func (p *Placer) InUse(team string) int {
+	n := 0
+	if tm := p.teams[team]; tm != nil {
+		for _, t := range tm.jobs {
+			n += t.inUse
+		}
+	}
+	return n
+}
+
 // Learn takes in what other owners' teams use.
 func (p *Placer) Learn(u []peer.Usage) {
 	for _, x := range u {
--- a/internal/rental/rental.go
+++ b/internal/rental/rental.go
@@ -152,6 +152,7 @@
 	catAt    loop.Micros
 	listed   bool // a list was read in this leadership
 	spareAt  loop.Micros
+	judged   loop.Micros
 	// OnGone is called once for every machine that is known to be deleted.
 	OnGone func(string)
 }
@@ -184,7 +185,7 @@
 			t.gone(name)
 		}
 	})
-	loop.Every(r, 200*loop.Millisecond, t.tick)
+	loop.Every(r, 50*loop.Millisecond, t.tick)
 	return t
 }
 
@@ -325,7 +326,10 @@
 		// be carried out long after.
 		return
 	}
-	t.judge()
+	if now := t.r.Now(); now-t.judged >= 200*loop.Millisecond {
+		t.judged = now
+		t.judge()
+	}
 	now := t.r.Now()
 	if !t.mayCall(now) {
 		return
@@ -344,17 +348,17 @@
 	}
 }
 
-// mayCall tells whether the pacing lets a cloud call go out now. Bursts stay
-// below what the cloud allows.
+// mayCall tells whether the pacing lets a cloud call go out now. The cloud allows
+// bursts worth two seconds; when all machines are to be rented at once, these count.
 func (t *Rental) mayCall(now loop.Micros) bool {
-	rate := 0.9 * t.cfg.Cluster.Cloud.RPS
+	rate := 0.95 * t.cfg.Cluster.Cloud.RPS
 	if gap := t.cfg.Operator.CloudCallS; gap > 0 {
 		rate = 1 / gap
 	}
 	if t.allowAt != 0 {
 		t.allow += float64(now-t.allowAt) / 1e6 * rate
 	}
-	if most := max(rate, 1); t.allow > most || t.allowAt == 0 {
+	if most := max(1.8*rate-1, 1); t.allow > most || t.allowAt == 0 {
 		t.allow = most
 	}
 	t.allowAt = now
--- a/internal/rental/spare.go
+++ b/internal/rental/spare.go
@@ -10,7 +10,7 @@
 
 // reserve is the part of what is in use that is kept free for what comes next,
 // before a machine counts as not needed.
-const reserve = 0.35
+const reserve = 0.2
 
 type sized struct {
 	m    *machine
@@ -23,23 +23,17 @@
 // spare finds machines whose work would fit into what is free elsewhere. Such a
 // machine would fall empty only when the last of its tasks ends, which takes long.
 // After a standby of its own it takes no more starts, and what can save itself
-// moves away. Any miss takes that back.
+// moves away. Misses take that back for as many machines as they need: with many jobs
+// there is always one that has missed a moment ago, and taking all back for it kept a
+// third of the fleet idle.
 func (t *Rental) spare(now loop.Micros) {
 	if now-t.spareAt < loop.Second {
 		return
 	}
 	t.spareAt = now
-	if len(t.wants()) > 0 {
-		for _, m := range t.machines {
-			m.spareTo = 0
-			if m.state == Draining {
-				t.setState(m, Up, "needed again")
-				if v := t.agent.View(m.name); v != nil {
-					t.n.Close(v.Host, peer.Close{Machine: m.name})
-				}
-			}
-		}
-		return
+	wanted := 0.0
+	for _, w := range t.wants() {
+		wanted += w.CPUs * float64(w.Count)
 	}
 	var all []sized
 	free, used := 0.0, 0.0
@@ -75,11 +69,21 @@
 		}
 		return all[i].m.name < all[j].m.name
 	})
+	need := reserve*used + wanted
+	// The cheapest and fullest of those that drain serve misses first.
+	for i := len(all) - 1; i >= 0 && free < need; i-- {
+		if x := all[i]; x.m.state == Draining {
+			free += x.free + x.used
+			x.m.spareTo = 0
+			t.setState(x.m, Up, "needed again")
+			t.n.Close(x.v.Host, peer.Close{Machine: x.m.name})
+		}
+	}
 	for _, x := range all {
 		if x.m.state != Up || x.used == 0 {
 			continue
 		}
-		if free-x.free-x.used < reserve*used {
+		if free-x.free-x.used < need {
 			x.m.spareTo = 0
 			continue
 		}
