Starts were recorded before their host could refuse the room: 7,259 vain records

Change: a start waits 30 ms for a refusal; machines that report here are preferred a little, so that owners on several nodes do not all go for the same one.

Ruled out: reservations that ran out (they hold 700 ms, records take 100).

--- a/internal/placer/commit.go
+++ b/internal/placer/commit.go
@@ -25,9 +25,9 @@
 const (
 	outcomeSoon = 500 * loop.Millisecond
 	outcomeLate = 3 * loop.Second
-	// gather is how long starts gather for one write; meanwhile a host can say that
-	// its room was taken by another owner.
-	gather = 15 * loop.Millisecond
+	// gather is how long a start waits for its write at least; meanwhile its host can say
+	// that the room was taken by another owner.
+	gather = 30 * loop.Millisecond
 )
 
 const tableKeys = "x/"
@@ -162,16 +162,23 @@
 		return 0
 	}
 	n := p.c.Writable()
-	if len(l.starts) == 0 {
+	ripe := 0 // they stand in the order in which they were chosen
+	for ripe < len(l.starts) && p.r.Now()-l.starts[ripe].t.task(l.starts[ripe].i).chosen >= gather {
+		ripe++
+	}
+	if ripe == 0 {
 		age := p.r.Now() - l.since
-		if !(2*n > p.c.Burst() && age >= outcomeSoon) && age < outcomeLate {
+		if len(l.outcomes) == 0 || (!(2*n > p.c.Burst() && age >= outcomeSoon) && age < outcomeLate) {
+			if len(l.starts) > 0 {
+				return 8 * loop.Millisecond
+			}
 			return 200 * loop.Millisecond
 		}
 	}
 	if n < 1 {
 		return 15 * loop.Millisecond
 	}
-	p.store(tm, p.compose(tm, n))
+	p.store(tm, p.compose(tm, n, ripe))
 	return 0
 }
 
@@ -188,7 +195,7 @@
 }
 
 // compose puts what waits into the open segment and takes its record.
-func (p *Placer) compose(tm *team, writable int) *write {
+func (p *Placer) compose(tm *team, writable, ripe int) *write {
 	l := &tm.log
 	limit := int(p.cfg.Cluster.State.ValueKB * 1024 * 0.8)
 	if l.open == nil || l.open.size+4*(entrySize+namesSize) > limit {
@@ -199,7 +206,7 @@
 	most := p.mostJobs() / 2
 	put := func(line []ref, starts bool) []ref {
 		for k, r := range line {
-			if w.seg.size+entrySize+2*namesSize > limit || (starts && !jobs[r.t] && len(jobs) >= most) {
+			if (starts && k >= ripe) || w.seg.size+entrySize+2*namesSize > limit || (starts && !jobs[r.t] && len(jobs) >= most) {
 				return append(line[:0], line[k:]...)
 			}
 			if starts {
--- a/internal/placer/fleet.go
+++ b/internal/placer/fleet.go
@@ -171,9 +171,13 @@
 // score says how well a task of the job would go there. What is urgent goes where its
 // image is, so that it starts at once. Anything else goes to the cheapest kind of
 // machine, and there to the fullest, so that dear machines fall empty and can be given
-// back; a fetch costs it little.
-func (sl *slot) score(s *job.Spec) float64 {
+// back; a fetch costs it little. Machines that report to this node are preferred a
+// little: owners on several nodes otherwise go for the same one.
+func (sl *slot) score(s *job.Spec, here string) float64 {
 	score := 2*sl.used/sl.typ.CPUs - 3*sl.dear
+	if sl.v.Host == here {
+		score += 0.4
+	}
 	if sl.hasImage(s.Image) {
 		if s.Priority >= job.High {
 			score += 10
@@ -226,7 +230,7 @@
 	var all []scored
 	for _, sl := range slots {
 		if sl.open(after, now) && sl.takes(t) {
-			all = append(all, scored{sl, sl.score(t.j.Spec)})
+			all = append(all, scored{sl, sl.score(t.j.Spec, p.n.Label)})
 		}
 	}
 	slices.SortStableFunc(all, func(a, b scored) int {
--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -225,6 +225,7 @@
 			x := t.task(i)
 			x.attempt++
 			x.machine, x.session, x.expiry, x.since = sl.v.Name, sl.v.Session, 0, 0
+			x.chosen = p.r.Now()
 			sl.room.Take(s)
 			sl.used += s.CPUs
 			p.useClaim(sl, t.j.ID)
--- a/internal/placer/table.go
+++ b/internal/placer/table.go
@@ -37,7 +37,8 @@
 	sentTo  string      // the only host that it was sent to
 	spread  bool        // it was sent to more than one host
 	sentAt  loop.Micros
-	seen    bool // its machine has shown it
+	chosen  loop.Micros // when its machine was chosen
+	seen    bool        // its machine has shown it
 	running bool
 	since   loop.Micros // when it was first seen running
 	stopAt  loop.Micros // when a stop was last asked for
