--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -104,6 +104,7 @@
 	p.refresh()
 	now := p.r.Now()
 	stops := now >= p.pre.nextRun
+	hope := p.turn.rate * p.share() * rentPatience
 	b := budget{left: mostStops, hope: p.turn.rate * p.share(), vain: map[stopKey]bool{}}
 	var chosen []hostStart
 	full := map[shape]bool{} // nothing has room for tasks of this shape
@@ -141,7 +142,14 @@
 			done := p.r.Now()
 			p.pre.nextRun = done + max(100*loop.Millisecond, 12*(done-now))
 		}
-		p.lastWant = append(p.lastWant, p.want(t, missed))
+		// What turnover frees at once need not be rented.
+		if soon := int(min(hope, float64(missed)*s.CPUs) / max(s.CPUs, 0.001)); soon > 0 {
+			hope -= float64(soon) * s.CPUs
+			missed -= soon
+		}
+		if missed > 0 {
+			p.lastWant = append(p.lastWant, p.want(t, missed))
+		}
 	}
 	for _, c := range chosen {
 		p.n.Reserve(c.host, c.start) // last, since a local host answers with a new view
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -178,6 +178,11 @@
 func (p *Placer) View(v *agent.View) {
 	now := p.r.Now()
 	p.zoneMemo[v.Name] = v.Zone
+	if p.fleet.slots[v.Name] == nil {
+		if typ, ok := p.n.Type(v.Type); ok && len(v.Tasks) == 0 {
+			p.turn.freed += typ.CPUs // one that has just come up is room as well
+		}
+	}
 	sl := p.fleet.view(v, now)
 	p.health.view(now, v)
 	sl.shut = max(sl.shut, p.health.until(v.Name))
--- a/internal/placer/preempt.go
+++ b/internal/placer/preempt.go
@@ -89,6 +89,10 @@
 	withinPatience = 3 * loop.Second
 )
 
+// rentPatience is how many seconds of turnover are set against misses before machines
+// are rented for them: with a large fleet some task has always missed a moment ago.
+const rentPatience = 1.0
+
 // mostStops bounds the stops of one pass: each is followed by commands, reports and views.
 const mostStops = 64
 
