--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -201,7 +201,7 @@
 	}
 	patience := withinPatience
 	if s.Priority >= job.High {
-		patience = urgentPatience
+		patience = 0
 	} else if !within {
 		return
 	}
--- a/internal/placer/preempt.go
+++ b/internal/placer/preempt.go
@@ -83,11 +83,9 @@
 	o.freed, o.at = 0, now
 }
 
-// How long jobs wait for turnover before others are stopped for them.
-const (
-	urgentPatience = 1 * loop.Second
-	withinPatience = 3 * loop.Second
-)
+// withinPatience is how long work within a guarantee waits for turnover before others
+// are stopped for it. What is urgent does not wait: it is little, and its limits are short.
+const withinPatience = 3 * loop.Second
 
 // rentPatience is how many seconds of turnover are set against misses before machines
 // are rented for them: with a large fleet some task has always missed a moment ago.
