Slow machines rest: with 50 tasks a job, one machine in twenty makes most jobs late

Change: each node compares run times with those of the same job elsewhere; a machine that takes 1.6 times as long, by six tasks, takes no starts for 20 s.

Ruled out: waiting for tasks to complete on them (a slow task ends when the trouble does).

--- a/cmd/cleatpick/main.go
+++ b/cmd/cleatpick/main.go
@@ -17,7 +17,7 @@
 )
 
 // version is what --version prints.
-const version = "0.1.0"
+const version = "0.2.0"
 
 type cli struct {
 	Config   string           `help:"The platform's settings file (TOML)." placeholder:"FILE" required:""`
--- a/internal/node/loopback_test.go
+++ b/internal/node/loopback_test.go
@@ -36,6 +36,11 @@
 	return ln.Addr().String()
 }
 
+// requestsOf hands a stand-in's requests on.
+func requestsOf(d store.Doer) func(method, path string, body []byte) store.Response {
+	return func(m, p string, b []byte) store.Response { return d.Do(m, p, b, 0) }
+}
+
 func freePort(t *testing.T) string {
 	t.Helper()
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -75,8 +80,7 @@
 			})
 		}()
 	}
-	stateAddr := serve(t, func(m, p string, b []byte) store.Response { return state.Do(m, p, b, 0) })
-	cloudAddr := serve(t, func(m, p string, b []byte) store.Response { return cloud.Do(m, p, b, 0) })
+	stateAddr, cloudAddr := serve(t, requestsOf(state)), serve(t, requestsOf(cloud))
 	var cfgs []*config.Config
 	for i := range 3 {
 		c := &config.Config{Operator: config.Defaults()}
--- a/internal/placer/fleet.go
+++ b/internal/placer/fleet.go
@@ -29,6 +29,7 @@
 	jobs    []*job.Job             // of the view's tasks
 	since   []loop.Micros          // since when each task of the view was seen running
 	stopped []stopping
+	tempo   tempo
 	stale   bool // waits for a refresh
 }
 
--- a/internal/placer/place_test.go
+++ b/internal/placer/place_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"log/slog"
 	"maps"
+	"math"
+	"math/rand/v2"
 	"os"
 	"slices"
 	"testing"
@@ -431,3 +433,51 @@
 		}
 	})
 }
+
+// A machine whose tasks take twice as long as those of the same job elsewhere rests; one
+// whose own jobs are long does not.
+func TestSlowMachinesRest(t *testing.T) {
+	g := newRig(100, config.Team{Name: "red", CPUs: 500, CPUsMax: 500})
+	short := g.job(1, job.Spec{Class: "k", Team: "blue", Tasks: 99, CPUs: 1, MemoryGB: 1, Image: "i", AnyType: true})
+	long := g.job(2, job.Spec{Class: "k", Team: "blue", Tasks: 99, CPUs: 1, MemoryGB: 1, Image: "i", AnyType: true})
+	rng := rand.New(rand.NewPCG(3, 3))
+	machines := map[string]float64{"n-001": 1, "n-002": 1, "n-003": 2.2, "n-004": 1}
+	next := 0
+	on := map[string][]agent.Task{}
+	until := map[string]loop.Micros{}
+	rested := map[string]bool{}
+	for range 1200 { // four tasks at a time on each machine, for a minute
+		for _, name := range slices.Sorted(maps.Keys(machines)) {
+			factor := machines[name]
+			kept := on[name][:0:0]
+			for _, x := range on[name] {
+				if x.State == wire.TaskExited {
+					continue // forgotten
+				}
+				if g.Now() >= until[x.Task] {
+					x.State, x.Why = wire.TaskExited, wire.WhyDone
+				}
+				kept = append(kept, x)
+			}
+			for len(kept) < 4 {
+				next++
+				id, run := short, 6.0
+				if name == "n-004" {
+					id, run = long, 20.0
+				}
+				x := agent.Task{Task: agent.TaskName(id, next), Attempt: 1, State: wire.TaskRunning}
+				until[x.Task] = g.Now() + loop.Seconds(run*factor*math.Exp(0.3*rng.NormFloat64()))
+				kept = append(kept, x)
+			}
+			on[name] = kept
+			g.show(name, "m8", "x", false, slices.Clone(kept)...)
+			if g.p.fleet.slots[name].shut > g.Now() {
+				rested[name] = true
+			}
+		}
+		g.Run(50 * loop.Millisecond)
+	}
+	if len(rested) != 1 || !rested["n-003"] {
+		t.Fatalf("%v rested, want n-003 alone", rested)
+	}
+}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -60,6 +60,7 @@
 	usage    map[string]peer.Usage
 	pre      preemptor
 	turn     turnover
+	paces    map[string]*pace // by job
 	checked  map[string]loop.Micros
 }
 
@@ -68,7 +69,7 @@
 	p := &Placer{r: r, c: c, log: log, cfg: cfg, n: n, book: book, agent: a, teams: map[string]*team{}, on: map[string]map[ref]struct{}{},
 		health: newHealth(), fleet: newFleet(), zoneMemo: map[string]string{}, nonce: rand.Uint64() >> 1, usage: map[string]peer.Usage{},
 		pre:     preemptor{claimed: map[*slot]struct{}{}, held: map[string]int{}},
-		checked: map[string]loop.Micros{}}
+		checked: map[string]loop.Micros{}, paces: map[string]*pace{}}
 	loop.Every(r, 400*loop.Millisecond, p.tick)
 	return p
 }
@@ -120,6 +121,9 @@
 
 // Job takes in that a job's record is new or has changed.
 func (p *Placer) Job(j *job.Job) {
+	if j.Final() {
+		delete(p.paces, j.ID)
+	}
 	if j.Spec == nil {
 		return
 	}
@@ -178,7 +182,11 @@
 func (p *Placer) View(v *agent.View) {
 	now := p.r.Now()
 	p.zoneMemo[v.Name] = v.Zone
-	if p.fleet.slots[v.Name] == nil {
+	// What runs on a machine that was not heard lately may have begun long ago. A new
+	// owner that took its first sight for the beginning found every task slow.
+	old := p.fleet.slots[v.Name]
+	unsure := old == nil || now-old.heard > 2*loop.Seconds(p.cfg.Cluster.Workers.ReportS)
+	if old == nil {
 		if typ, ok := p.n.Type(v.Type); ok && len(v.Tasks) == 0 {
 			p.turn.freed += typ.CPUs // one that has just come up is room as well
 		}
@@ -187,7 +195,8 @@
 	p.health.view(now, v)
 	sl.shut = max(sl.shut, p.health.until(v.Name))
 	sl.jobs = p.agent.Jobs(v)
-	p.turn.freed += sl.noteRuns(v, sl.jobs, now)
+	p.judgePace(sl, v, sl.jobs, now)
+	p.turn.freed += sl.noteRuns(v, sl.jobs, now, unsure)
 	for r := range p.on[v.Name] {
 		p.judge(r.t, r.i, v)
 	}
--- a/internal/placer/preempt.go
+++ b/internal/placer/preempt.go
@@ -24,13 +24,16 @@
 type runSince struct {
 	attempt uint64
 	since   loop.Micros
+	late    bool // it has spoken against its machine
+	heard   bool // its run time was taken in
+	unsure  bool // it may have begun long before it was first seen
 }
 
 // noteRuns follows a view: since when its tasks run, by which is judged what a stop
 // would lose, and which images they use.
 //
 // It tells how many CPUs fell free by tasks that completed.
-func (sl *slot) noteRuns(v *agent.View, jobs []*job.Job, now loop.Micros) (freed float64) {
+func (sl *slot) noteRuns(v *agent.View, jobs []*job.Job, now loop.Micros, unsure bool) (freed float64) {
 	n := 0
 	sl.since = make([]loop.Micros, len(v.Tasks))
 	for i := range v.Tasks {
@@ -51,7 +54,7 @@
 			n++
 			o, ok := sl.runs[t.Task]
 			if !ok || o.attempt != t.Attempt {
-				o = runSince{t.Attempt, now}
+				o = runSince{attempt: t.Attempt, since: now, unsure: unsure}
 				sl.runs[t.Task] = o
 			}
 			sl.since[i] = o.since
