--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -372,23 +372,7 @@
 	if j == nil {
 		return // its record is on its way here; the start will tell
 	}
-	why := ""
-	switch typ, known := a.h.Type(m.view.Type); {
-	case s.Session != m.view.Session:
-		why = "another session"
-	case a.r.Wall() < m.closeTo:
-		why = "closed"
-	case m.view.NoticeAt != 0:
-		why = "notice"
-	case j.Final() || !known:
-		why = "unknown"
-	default:
-		m.view.resolved = false
-		if room, ok := a.Room(&m.view, typ); !ok || !room.Fits(j.Spec) {
-			why = "full"
-		}
-	}
-	if why != "" {
+	if why := a.refusal(m, s, j); why != "" {
 		a.h.Drop(s.From, Drop{Machine: s.Machine, Task: s.Task, Attempt: s.Attempt, Why: why, Reserve: true})
 		return
 	}
@@ -397,6 +381,28 @@
 	a.touchSoon(m)
 }
 
+// refusal tells why a start cannot be taken on now; it is empty if it can.
+func (a *Agent) refusal(m *machine, s Start, j *job.Job) string {
+	typ, known := a.h.Type(m.view.Type)
+	switch {
+	case s.Session != m.view.Session:
+		return "another session"
+	case a.r.Wall() < m.closeTo:
+		return "closed"
+	case m.view.NoticeAt != 0:
+		return "notice"
+	case j == nil || j.Final() || !known:
+		return "unknown"
+	case !a.h.MayStart():
+		return "no state contact"
+	}
+	m.view.resolved = false // it is not a published view, and changes
+	if room, ok := a.Room(&m.view, typ); !ok || !room.Fits(j.Spec) {
+		return "full"
+	}
+	return ""
+}
+
 // touchSoon renews what others see of the machine once for several causes that come
 // together: the starts of a large job reach a machine one after another.
 func (a *Agent) touchSoon(m *machine) {
@@ -467,27 +473,13 @@
 		delete(m.reserved, k)
 		a.listPending(m)
 	}
-	typ, known := a.h.Type(m.view.Type)
+	why := a.refusal(m, s, j)
 	switch {
 	case wall >= s.Expiry:
 		drop("too old")
-	case s.Session != m.view.Session:
-		drop("another session")
-	case wall < m.closeTo:
-		drop("closed")
-	case m.view.NoticeAt != 0:
-		drop("notice")
-	case j == nil || j.Final() || !known:
-		drop("unknown")
-	case !a.h.MayStart():
-		drop("no state contact")
+	case why != "":
+		drop(why)
 	default:
-		m.view.resolved = false
-		room, ok := a.Room(&m.view, typ)
-		if !ok || !room.Fits(j.Spec) {
-			drop("full")
-			return
-		}
 		m.pending[k] = &pending{s: s}
 		m.dirty = true
 		a.listPending(m) // the next start must find this room taken
@@ -626,6 +618,14 @@
 	delete(a.views, name)
 }
 
+// Forget drops the memory of deleted machines. Should one of them turn up in a message
+// that was held back, it is found silent and deleted once more.
+func (a *Agent) Forget(names []string) {
+	for _, name := range names {
+		delete(a.gone, name)
+	}
+}
+
 // IsGone tells whether the machine is known to be deleted.
 func (a *Agent) IsGone(name string) bool { return a.gone[name] }
 
--- a/internal/node/flood_test.go
+++ b/internal/node/flood_test.go
@@ -8,7 +8,6 @@
 	"testing"
 	"time"
 
-	"cleatpick/internal/config"
 	"cleatpick/internal/loop"
 	"cleatpick/internal/standin"
 	"cleatpick/internal/wire"
@@ -24,15 +23,7 @@
 	state := standin.NewState(clock.Now)
 	cloud := standin.NewCloud(wire.MachineType{Name: "m8", CPUs: 8, MemoryGB: 32, Price: 1, SpotPrice: 0.3, BootS: 1, Zones: []string{"x"}}, 4)
 	cloud.Up, cloud.Gone = func(wire.Listed) {}, func(string) {}
-	c := &config.Config{Operator: config.Defaults()}
-	c.Label, c.ClientListen, c.PeerListen = "s-0", freePort(t), freePort(t)
-	c.Outside.State, c.Outside.Cloud = serve(t, requestsOf(state)), serve(t, requestsOf(cloud))
-	c.Cluster.Nodes = 1
-	c.Cluster.Teams = []config.Team{{Name: "red", CPUs: 16, CPUsMax: 32}}
-	c.Cluster.Workers.ReportS, c.Cluster.Workers.LeaseS, c.Cluster.Workers.CancelS = 1, 10, 30
-	c.Cluster.State.RPS, c.Cluster.State.WriteRPS, c.Cluster.State.ValueKB, c.Cluster.State.TxnOps = 60, 20, 16, 16
-	c.Cluster.Cloud.RPS, c.Cluster.Cloud.ListLagS = 5, 1
-	c.Cluster.Limits.RAMMB, c.Cluster.Limits.MaxSockets = 100, 800
+	c := onLoopback(t, "s-0", serve(t, requestsOf(state)), serve(t, requestsOf(cloud)), 1)
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	go New(c, slog.New(slog.DiscardHandler)).Run(ctx)
--- a/internal/node/loopback_test.go
+++ b/internal/node/loopback_test.go
@@ -41,6 +41,20 @@
 	return func(m, p string, b []byte) store.Response { return d.Do(m, p, b, 0) }
 }
 
+// onLoopback are a node's settings beside stand-ins on this machine.
+func onLoopback(t *testing.T, label, state, cloud string, nodes int) *config.Config {
+	c := &config.Config{Operator: config.Defaults()}
+	c.Label, c.ClientListen, c.PeerListen = label, freePort(t), freePort(t)
+	c.Outside.State, c.Outside.Cloud = state, cloud
+	c.Cluster.Nodes = nodes
+	c.Cluster.Teams = []config.Team{{Name: "red", CPUs: 16, CPUsMax: 32}}
+	c.Cluster.Workers.ReportS, c.Cluster.Workers.LeaseS, c.Cluster.Workers.CancelS = 0.5, 10, 30
+	c.Cluster.State.RPS, c.Cluster.State.WriteRPS, c.Cluster.State.ValueKB, c.Cluster.State.TxnOps = 60, 20, 16, 16
+	c.Cluster.Cloud.RPS, c.Cluster.Cloud.ListLagS = 20, 1
+	c.Cluster.Limits.RAMMB, c.Cluster.Limits.MaxSockets = 100, 800
+	return c
+}
+
 func freePort(t *testing.T) string {
 	t.Helper()
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -83,15 +97,8 @@
 	stateAddr, cloudAddr := serve(t, requestsOf(state)), serve(t, requestsOf(cloud))
 	var cfgs []*config.Config
 	for i := range 3 {
-		c := &config.Config{Operator: config.Defaults()}
-		c.Label, c.ClientListen, c.PeerListen = fmt.Sprintf("s-%d", i), freePort(t), freePort(t)
-		c.Outside.State, c.Outside.Cloud = stateAddr, cloudAddr
-		c.Cluster.Nodes = 3
-		c.Cluster.Teams = []config.Team{{Name: "red", CPUs: 16, CPUsMax: 32}}
-		c.Cluster.Workers.ReportS, c.Cluster.Workers.LeaseS, c.Cluster.Workers.CancelS = 0.5, 10, 30
-		c.Cluster.State.RPS, c.Cluster.State.WriteRPS, c.Cluster.State.ValueKB, c.Cluster.State.TxnOps = 600, 300, 16, 16
-		c.Cluster.Cloud.RPS, c.Cluster.Cloud.ListLagS = 20, 1
-		c.Cluster.Limits.RAMMB, c.Cluster.Limits.MaxSockets = 100, 500
+		c := onLoopback(t, fmt.Sprintf("s-%d", i), stateAddr, cloudAddr, 3)
+		c.Cluster.State.RPS, c.Cluster.State.WriteRPS = 600, 300
 		cfgs = append(cfgs, c)
 		nodes = append(nodes, c.ClientListen)
 	}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -71,6 +71,13 @@
 		pre:     preemptor{claimed: map[*slot]struct{}{}, held: map[string]int{}},
 		checked: map[string]loop.Micros{}, paces: map[string]*pace{}}
 	loop.Every(r, 400*loop.Millisecond, p.tick)
+	loop.Every(r, 60*loop.Second, func() {
+		for m := range p.zoneMemo { // of machines that are gone, once nothing counts there
+			if p.on[m] == nil && p.fleet.slots[m] == nil {
+				delete(p.zoneMemo, m)
+			}
+		}
+	})
 	return p
 }
 
--- a/internal/rental/rental.go
+++ b/internal/rental/rental.go
@@ -153,6 +153,7 @@
 	listed   bool // a list was read in this leadership
 	spareAt  loop.Micros
 	judged   loop.Micros
+	deleted  map[string][]string // machines by the record of their deletion
 	// OnGone is called once for every machine that is known to be deleted.
 	OnGone func(string)
 }
@@ -160,7 +161,7 @@
 // New makes the rental slice.
 func New(r loop.Runner, log *slog.Logger, cfg *config.Config, c *store.Client, m *store.Mirror, cloud store.Doer, a *agent.Agent, n Node) *Rental {
 	t := &Rental{r: r, log: log, cfg: cfg, c: c, m: m, cloud: cloud, agent: a, n: n, byName: map[string]wire.MachineType{},
-		tallies: map[string]peer.Tally{}, tallyAt: map[string]loop.Micros{}}
+		tallies: map[string]peer.Tally{}, tallyAt: map[string]loop.Micros{}, deleted: map[string][]string{}}
 	m.On(CatalogKey, func(key string, e store.Entry) {
 		var rec catalogRecord
 		if e.Mark == 0 {
@@ -175,16 +176,20 @@
 	m.On(GoneKeys, func(key string, e store.Entry) {
 		var rec GoneRecord
 		if e.Mark == 0 {
+			a.Forget(t.deleted[key])
+			delete(t.deleted, key)
 			return
 		}
 		if err := wire.Unmarshal(e.Value, &rec); err != nil {
 			log.Error("corrupt record set aside", "key", key, "err", err)
 			return
 		}
+		t.deleted[key] = rec.Machines
 		for _, name := range rec.Machines {
 			t.gone(name)
 		}
 	})
+	loop.Every(r, 60*loop.Second, t.sweep)
 	loop.Every(r, 50*loop.Millisecond, t.tick)
 	return t
 }
@@ -591,6 +596,35 @@
 	})
 }
 
+// keepGone is how long deletions stay on record. An owner that meets a task on a machine
+// whose record is gone calls it suspect, and the leader proves it deleted again.
+const keepGone = 30 * 60 * loop.Second
+
+// sweep removes records of deletions that are long over.
+func (t *Rental) sweep() {
+	if !t.leads || !t.n.Entitled() {
+		return
+	}
+	txn := wire.Txn{If: []wire.Cond{member.LeaderCond(t.claim)}}
+	for _, key := range t.m.Under(GoneKeys) {
+		var rec GoneRecord
+		if e, ok := t.m.Get(key); ok && wire.Unmarshal(e.Value, &rec) == nil && t.r.Wall()-rec.At > keepGone &&
+			len(txn.Then) < t.cfg.Cluster.State.TxnOps {
+			txn.Then = append(txn.Then, wire.Change{Delete: key})
+		}
+	}
+	if len(txn.Then) == 0 {
+		return
+	}
+	t.c.Txn(store.Background, txn, func(r store.Result) {
+		if r.Outcome == store.Applied {
+			for _, ch := range txn.Then {
+				t.m.Apply(ch.Delete, nil, r.Tally, true)
+			}
+		}
+	})
+}
+
 func (t *Rental) gone(name string) {
 	if m := t.machines[name]; m != nil {
 		t.setState(m, Gone, m.why)
--- a/internal/rental/rental_test.go
+++ b/internal/rental/rental_test.go
@@ -39,6 +39,7 @@
 	cfg := &config.Config{Operator: config.Defaults()}
 	cfg.Cluster.Workers.ReportS, cfg.Cluster.Workers.LeaseS = 1, 10
 	cfg.Cluster.Cloud.RPS, cfg.Cluster.Cloud.ListLagS = 5, 2
+	cfg.Cluster.State.TxnOps = 16
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	state := standin.NewState(func() loop.Micros { return g.Now() })
 	state.Put("c/l", map[string]any{"n": "a", "e": 1})
@@ -149,3 +150,26 @@
 		t.Fatalf("closed %d times, gone %v", len(closed), g.a.IsGone("n-900000"))
 	}
 }
+
+// Records of deletions are swept after a while, and a machine that is met again is
+// proven deleted again, so that nothing recorded on it waits for ever.
+func TestDeletionsAreSweptAndProvenAgain(t *testing.T) {
+	g := newRig(t, 4)
+	g.Run(3 * loop.Second)
+	g.hear("n-900000", "x")
+	g.Run(25 * loop.Second) // silent from now on
+	if !g.a.IsGone("n-900000") || len(g.t.m.Under(GoneKeys)) != 1 {
+		t.Fatalf("gone %v, records %v", g.a.IsGone("n-900000"), g.t.m.Under(GoneKeys))
+	}
+	g.Run(keepGone + 120*loop.Second)
+	if n := len(g.t.m.Under(GoneKeys)); n != 0 || g.a.IsGone("n-900000") {
+		t.Fatalf("%d records are left, gone %v", n, g.a.IsGone("n-900000"))
+	}
+	for range 80 {
+		g.t.Tally("b", peer.Tally{Wall: g.Now(), Suspect: []string{"n-900000"}})
+		g.Run(500 * loop.Millisecond)
+	}
+	if !g.a.IsGone("n-900000") {
+		t.Fatal("a suspect machine was not proven deleted again")
+	}
+}
