--- a/internal/placer/place_test.go
+++ b/internal/placer/place_test.go
@@ -179,7 +179,7 @@
 			for _, name := range names {
 				v := g.a.View(name)
 				room := rooms[name]
-				if !room.Fits(s) || !s.AllowsPlace(v.Type, v.Zone, v.Spot) || v.NoticeAt != 0 || v.Closed {
+				if !room.Fits(s) || !s.AllowsPlace(v.Type, v.Zone, v.Spot) || v.NoticeAt != 0 || v.Closed || g.Now() < g.p.fleet.slots[name].shut {
 					continue
 				}
 				other := false
@@ -251,7 +251,8 @@
 					on[s.Machine] = append(on[s.Machine], agent.Task{Task: s.Task, Attempt: s.Attempt, State: wire.TaskRunning})
 				}
 				g.starts = nil
-				for name, all := range on {
+				for _, name := range slices.Sorted(maps.Keys(on)) {
+					all := on[name]
 					for i := range all {
 						if rapid.IntRange(0, 3).Draw(t, "ends") == 0 {
 							all[i].State, all[i].Why = wire.TaskExited, wire.WhyDone
