Gates: what keeps a task back stands in a package of its own; health too

Change: the job's gates (damaged record, back-off, probe, limit) and the machine's (heard, rested, notice, draining, room, rules, claims) are pure pieces in gate; judging machines by failures, pace and runs is health.

--- a/internal/placer/health.go
+++ b/internal/health/health.go
@@ -1,4 +1,6 @@
-package placer
+// Package health judges machines by what their tasks show: which fail, which are slow,
+// and since when each task runs. Every node sees the same views and judges alike.
+package health
 
 import (
 	"cleatpick/internal/agent"
@@ -6,23 +8,24 @@
 	"cleatpick/internal/wire"
 )
 
-// health judges machines by what their views show of all teams' tasks. Every node
-// sees the same views and so comes to the same judgement.
-type health struct {
-	machines map[string]*machineHealth
+// Failures judges machines by the tasks of all teams that failed on them.
+type Failures struct {
+	machines map[string]*machineFailures
 }
 
-type machineHealth struct {
+type machineFailures struct {
 	counted map[string]uint64 // ended attempts that were counted
 	errors  int               // since the last success
 	jobs    map[string]bool   // that failed since the last success
 	until   loop.Micros       // nothing is placed before
 }
 
-func newHealth() *health { return &health{machines: map[string]*machineHealth{}} }
+// NewFailures makes an empty judgement.
+func NewFailures() *Failures { return &Failures{machines: map[string]*machineFailures{}} }
 
-func (h *health) view(now loop.Micros, v *agent.View) {
-	var m *machineHealth
+// View takes in a machine's newer view.
+func (h *Failures) View(now loop.Micros, v *agent.View) {
+	var m *machineFailures
 	for i := range v.Tasks {
 		t := &v.Tasks[i]
 		if t.Active() || (t.Why != wire.WhyDone && t.Why != wire.WhyError) {
@@ -30,7 +33,7 @@
 		}
 		if m == nil {
 			if m = h.machines[v.Name]; m == nil {
-				m = &machineHealth{counted: map[string]uint64{}, jobs: map[string]bool{}}
+				m = &machineFailures{counted: map[string]uint64{}, jobs: map[string]bool{}}
 				h.machines[v.Name] = m
 			}
 		}
@@ -59,7 +62,7 @@
 }
 
 // forget drops what the machine does not report any more.
-func (m *machineHealth) forget(v *agent.View) {
+func (m *machineFailures) forget(v *agent.View) {
 	kept := map[string]uint64{}
 	for i := range v.Tasks {
 		if n, ok := m.counted[v.Tasks[i].Task]; ok {
@@ -69,18 +72,19 @@
 	m.counted = kept
 }
 
-func (h *health) gone(machine string) { delete(h.machines, machine) }
+// Gone forgets a machine that was deleted.
+func (h *Failures) Gone(machine string) { delete(h.machines, machine) }
 
-// until is when something may be placed on the machine again.
-func (h *health) until(machine string) loop.Micros {
+// Until is when something may be placed on the machine again.
+func (h *Failures) Until(machine string) loop.Micros {
 	if m := h.machines[machine]; m != nil {
 		return m.until
 	}
 	return 0
 }
 
-// faulty tells whether the machine fails tasks of several jobs and should be replaced.
-func (h *health) faulty(machine string) bool {
+// Faulty tells whether the machine fails tasks of several jobs and should be replaced.
+func (h *Failures) Faulty(machine string) bool {
 	m := h.machines[machine]
 	return m != nil && len(m.jobs) >= 2 && m.errors >= 3
 }
--- a/internal/placer/commit.go
+++ b/internal/placer/commit.go
@@ -532,7 +532,7 @@
 			// before is not started on the account of a log that cannot be read.
 			p.book.Each(func(j *job.Job) {
 				if j.Spec != nil && j.Spec.Team == tm.cfg.Name && !j.Final() {
-					p.tableOf(tm, j).holdOff = 1 << 62
+					p.tableOf(tm, j).damaged = true
 				}
 			})
 			continue
@@ -568,7 +568,7 @@
 			}
 			if bad > 0 {
 				p.log.Error("corrupt entries set aside", "key", it.Key, "job", je.ID, "entries", bad)
-				t.holdOff = 1 << 62
+				t.damaged = true
 			}
 		}
 	}
--- a/internal/placer/fleet.go
+++ b/internal/placer/fleet.go
@@ -1,36 +1,31 @@
 package placer
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"strings"
 
 	"cleatpick/internal/agent"
+	"cleatpick/internal/gate"
+	"cleatpick/internal/health"
 	"cleatpick/internal/job"
 	"cleatpick/internal/loop"
-	"cleatpick/internal/peer"
 	"cleatpick/internal/wire"
 )
 
 // slot is a machine as placement sees it.
 type slot struct {
-	v       *agent.View
-	typ     wire.MachineType
-	known   bool // its room is known and it may take starts at all
-	room    agent.Room
-	used    float64
-	cost    float64 // price by CPU
-	dear    float64 // how far that is above the cheapest of all machines here, from 0 to 1
-	heard   loop.Micros
-	shut    loop.Micros            // nothing is placed before
-	images  map[string]loop.Micros // images seen in use
-	runs    map[string]runSince    // tasks seen running
-	claims  []peer.Claim           // room kept for jobs that tasks were stopped for
-	jobs    []*job.Job             // of the view's tasks
-	since   []loop.Micros          // since when each task of the view was seen running
-	stopped []stopping
-	tempo   tempo
-	stale   bool // waits for a refresh
+	gate.Place
+	typ      wire.MachineType
+	used     float64
+	cost     float64 // price by CPU
+	dear     float64 // how far that is above the cheapest of all machines here, from 0 to 1
+	runs     *health.Runs
+	jobs     []*job.Job // of the view's tasks
+	stopped  []stopping
+	cordoned uint64 // the version of the cordons that Cordoned was judged by
+	stale    bool   // waits for a refresh
 }
 
 // fleet keeps a slot for every machine heard. Slots are brought up to date by refresh,
@@ -50,13 +45,13 @@
 func (f *fleet) view(v *agent.View, now loop.Micros) *slot {
 	sl := f.slots[v.Name]
 	if sl == nil {
-		sl = &slot{images: map[string]loop.Micros{}, runs: map[string]runSince{}}
+		sl = &slot{runs: health.NewRuns()}
 		f.slots[v.Name] = sl
 		f.order = append(f.order, sl)
 		f.sorted = false
 		f.priced = 0
 	}
-	sl.v, sl.heard = v, now
+	sl.V, sl.Heard = v, now
 	f.touch(sl)
 	return sl
 }
@@ -76,21 +71,21 @@
 	}
 	delete(f.slots, machine)
 	f.order = slices.DeleteFunc(f.order, func(x *slot) bool { return x == sl })
-	sl.known = false
+	sl.Known = false
 }
 
 // refresh brings the slots up to date that were touched.
 func (p *Placer) refresh() {
 	f, now := p.fleet, p.r.Now()
 	if !f.sorted {
-		slices.SortFunc(f.order, func(a, b *slot) int { return strings.Compare(a.v.Name, b.v.Name) })
+		slices.SortFunc(f.order, func(a, b *slot) int { return strings.Compare(a.V.Name, b.V.Name) })
 		f.sorted = true
 	}
 	due := f.stale
 	f.stale = nil
 	for _, sl := range due {
 		sl.stale = false
-		if f.slots[sl.v.Name] == sl {
+		if f.slots[sl.V.Name] == sl {
 			p.refreshSlot(sl)
 		}
 	}
@@ -101,14 +96,14 @@
 }
 
 func (p *Placer) refreshSlot(sl *slot) {
-	v := sl.v
+	v := sl.V
 	typ, ok := p.n.Type(v.Type)
 	var room agent.Room
 	if ok {
 		room, ok = p.agent.Room(v, typ)
 	}
 	if !ok {
-		sl.known = false
+		sl.Known = false
 		p.fleet.touch(sl) // until its type and its tasks' jobs are known here
 		return
 	}
@@ -120,18 +115,18 @@
 		}
 		room.Take(r.t.j.Spec) // chosen or started, and not shown yet
 	}
-	sl.typ, sl.room, sl.used = typ, room, typ.CPUs-room.CPUs
+	sl.typ, sl.Room, sl.used = typ, room, typ.CPUs-room.CPUs
 	sl.jobs = p.agent.Jobs(v)
-	sl.known = v.NoticeAt == 0 && !v.Closed
+	sl.Known = true
 }
 
 // price compares the machines' prices, which change from time to time.
 func (p *Placer) price() {
 	least := math.Inf(1)
 	for _, sl := range p.fleet.order {
-		if typ, ok := p.n.Type(sl.v.Type); ok {
+		if typ, ok := p.n.Type(sl.V.Type); ok {
 			sl.cost = typ.Price / typ.CPUs
-			if sl.v.Spot {
+			if sl.V.Spot {
 				sl.cost = typ.SpotPrice / typ.CPUs
 			}
 			least = min(least, sl.cost)
@@ -144,31 +139,6 @@
 	}
 }
 
-// open tells whether tasks may be placed on the machine now.
-func (sl *slot) open(heardAfter, now loop.Micros) bool {
-	return sl.known && sl.heard >= heardAfter && now >= sl.shut
-}
-
-// hasImage tells whether the job's image was seen in use on the machine.
-func (sl *slot) hasImage(image string) bool {
-	_, ok := sl.images[image]
-	return ok
-}
-
-// beside is what a machine has free for a job beside the room that is kept for other
-// jobs of at least its priority.
-func (sl *slot) beside(t *table) agent.Room {
-	r := sl.room
-	for i := range sl.claims {
-		if c := &sl.claims[i]; c.Job != t.j.ID && c.Priority >= int(t.j.Spec.Priority) {
-			r.CPUs -= c.CPUs
-			r.GPUs -= c.GPUs
-			r.MemoryGB -= c.MemoryGB
-		}
-	}
-	return r
-}
-
 // score says how well a task of the job would go there. What is urgent goes where its
 // image is, so that it starts at once. Anything else goes to the cheapest kind of
 // machine, and there to the fullest, so that dear machines fall empty and can be given
@@ -176,10 +146,10 @@
 // little: owners on several nodes otherwise go for the same one.
 func (sl *slot) score(s *job.Spec, here string) float64 {
 	score := 2*sl.used/sl.typ.CPUs - 3*sl.dear
-	if sl.v.Host == here {
+	if sl.V.Host == here {
 		score += 0.4
 	}
-	if sl.hasImage(s.Image) {
+	if sl.runs.HasImage(s.Image) {
 		if s.Priority >= job.High {
 			score += 10
 		} else {
@@ -189,18 +159,6 @@
 	return score
 }
 
-// takes tells whether the machine may take a task of the job now.
-func (sl *slot) takes(t *table) bool {
-	if !sl.room.Fits(t.j.Spec) || !allowed(t, sl.v) {
-		return false
-	}
-	if len(sl.claims) == 0 {
-		return true
-	}
-	room := sl.beside(t)
-	return room.Fits(t.j.Spec)
-}
-
 // shape is what decides where a job's tasks fit, for jobs whose tasks may be anywhere.
 type shape struct {
 	cpus, gpus, memory float64
@@ -224,25 +182,18 @@
 func (p *Placer) ranked(t *table, slots []*slot) []*slot {
 	now := p.r.Now()
 	after := now - p.staleAfter()
+	need := t.need()
 	type scored struct {
 		sl    *slot
 		score float64
 	}
 	var all []scored
 	for _, sl := range slots {
-		if sl.open(after, now) && sl.takes(t) {
+		if sl.Open(after, now) && sl.Takes(&need) {
 			all = append(all, scored{sl, sl.score(t.j.Spec, p.n.Label)})
 		}
 	}
-	slices.SortStableFunc(all, func(a, b scored) int {
-		switch {
-		case a.score > b.score:
-			return -1
-		case a.score < b.score:
-			return 1
-		}
-		return 0
-	})
+	slices.SortStableFunc(all, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
 	out := make([]*slot, len(all))
 	for i := range all {
 		out[i] = all[i].sl
--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -5,31 +5,12 @@
 	"sort"
 
 	"cleatpick/internal/agent"
+	"cleatpick/internal/gate"
 	"cleatpick/internal/job"
 	"cleatpick/internal/loop"
 	"cleatpick/internal/peer"
 )
 
-// allowed tells whether the job's rules let a task of it go to this machine,
-// counting every task of it that may be on any machine.
-func allowed(t *table, v *agent.View) bool {
-	s := t.j.Spec
-	if !s.AllowsPlace(v.Type, v.Zone, v.Spot) {
-		return false
-	}
-	if s.OneZone {
-		for z, n := range t.zones {
-			if n > 0 && z != v.Zone {
-				return false
-			}
-		}
-	}
-	if s.Spread && t.zones[v.Zone] >= (t.j.Tasks+1)/2 {
-		return false
-	}
-	return true
-}
-
 type hostStart struct {
 	host  string
 	start agent.Start
@@ -57,14 +38,13 @@
 // queue lists the jobs with waiting tasks in the order in which they are served.
 func (p *Placer) queue() []entryOf {
 	var q []entryOf
-	now := p.r.Now()
 	for _, tm := range p.teams {
 		if !tm.loaded {
 			continue
 		}
 		var within map[*table]bool
 		for _, t := range tm.jobs {
-			if !t.j.Final() && !t.closing && t.waiting() > 0 && now >= t.holdOff {
+			if !t.j.Final() && !t.closing && t.waiting() > 0 && p.open(t) {
 				if within == nil {
 					within = p.guaranteed(tm)
 				}
@@ -111,16 +91,14 @@
 	for _, e := range q {
 		t := e.t
 		s := t.j.Spec
-		probe := 1 << 30
-		if t.failures >= 3 && len(t.failedOn) >= 3 {
-			probe = 1 - t.inUse // one task at a time tells whether it still fails
-		}
+		facts := p.facts(t)
+		probe := facts.Passes(gate.Probe)
 		if s.Gang && !p.gangFits(t) {
 			probe = 0
 			p.lastWant = append(p.lastWant, p.want(t, t.waiting()))
 		}
 		sh, free := shapeOf(s)
-		if n := min(probe, p.missed(t)); n > 0 && (!full[sh] || p.pre.held[t.j.ID] > 0) {
+		if n := min(probe, facts.Passes(gate.Limit)); n > 0 && (!full[sh] || p.pre.held[t.j.ID] > 0) {
 			got := p.fill(t, n, &chosen)
 			probe -= got
 			if got < n && free && p.pre.held[t.j.ID] == 0 {
@@ -226,19 +204,19 @@
 
 // fill places up to n waiting tasks of a job and tells how many found room.
 func (p *Placer) fill(t *table, n int, chosen *[]hostStart) int {
-	s, got := t.j.Spec, 0
+	s, got, need := t.j.Spec, 0, t.need()
 	for _, sl := range p.ranked(t, p.fleet.order) {
-		for got < n && sl.takes(t) {
+		for got < n && sl.Takes(&need) {
 			i := t.pop()
 			x := t.task(i)
 			x.attempt++
-			x.machine, x.session, x.expiry, x.since = sl.v.Name, sl.v.Session, 0, 0
+			x.machine, x.session, x.expiry, x.since = sl.V.Name, sl.V.Session, 0, 0
 			x.chosen = p.r.Now()
-			sl.room.Take(s)
+			sl.Room.Take(s)
 			sl.used += s.CPUs
 			p.useClaim(sl, t.j.ID)
 			p.setTask(t, i, Recording)
-			*chosen = append(*chosen, hostStart{sl.v.Host, agent.Start{Machine: x.machine, Session: x.session, Task: t.name(i), Attempt: x.attempt, From: p.n.Label}})
+			*chosen = append(*chosen, hostStart{sl.V.Host, agent.Start{Machine: x.machine, Session: x.session, Task: t.name(i), Attempt: x.attempt, From: p.n.Label}})
 			p.recordStart(t, i)
 			got++
 		}
@@ -267,13 +245,12 @@
 		c := *sl
 		trial[i] = &c
 	}
-	zones := t.zones
-	t.zones = maps.Clone(zones)
-	defer func() { t.zones = zones }()
+	need := t.need()
+	need.Zones = maps.Clone(t.zones)
 	for _, sl := range p.ranked(t, trial) {
-		for n > 0 && sl.takes(t) {
-			sl.room.Take(s)
-			t.zones[sl.v.Zone]++
+		for n > 0 && sl.Takes(&need) {
+			sl.Room.Take(s)
+			need.Zones[sl.V.Zone]++
 			n--
 		}
 	}
@@ -282,16 +259,9 @@
 
 // missed is how many of a job's tasks wait for room and not for their team's limit.
 func (p *Placer) missed(t *table) int {
-	n := t.waiting()
-	s, tm := t.j.Spec, t.team
-	if s.CPUs > 0 {
-		n = min(n, int((tm.cfg.CPUsMax-tm.cpus+1e-9)/s.CPUs))
-	}
-	if s.GPUs > 0 {
-		n = min(n, int((tm.cfg.GPUsMax-tm.gpus+1e-9)/s.GPUs))
-	}
-	return max(n, 0)
+	f := p.facts(t)
+	return f.Passes(gate.Limit)
 }
 
 // Faulty tells whether a machine should be replaced for failing tasks.
-func (p *Placer) Faulty(machine string) bool { return p.health.faulty(machine) }
+func (p *Placer) Faulty(machine string) bool { return p.failures.Faulty(machine) }
--- a/internal/placer/place_test.go
+++ b/internal/placer/place_test.go
@@ -179,7 +179,7 @@
 			for _, name := range names {
 				v := g.a.View(name)
 				room := rooms[name]
-				if !room.Fits(s) || !s.AllowsPlace(v.Type, v.Zone, v.Spot) || v.NoticeAt != 0 || v.Closed || g.Now() < g.p.fleet.slots[name].shut {
+				if !room.Fits(s) || !s.AllowsPlace(v.Type, v.Zone, v.Spot) || v.NoticeAt != 0 || v.Closed || g.Now() < g.p.fleet.slots[name].Shut {
 					continue
 				}
 				other := false
@@ -191,7 +191,7 @@
 				}
 				typ := types[v.Type]
 				score := 2*(typ.CPUs-room.CPUs)/typ.CPUs - 3*(1-least/cost[name])
-				if _, ok := g.p.fleet.slots[name].images[s.Image]; ok {
+				if g.p.fleet.slots[name].runs.HasImage(s.Image) {
 					score++
 					if s.Priority >= job.High {
 						score += 9
@@ -289,8 +289,8 @@
 			}
 			g.p.refresh()
 			for name, sl := range g.p.fleet.slots {
-				if room := g.plainRoom(name); sl.known && room != sl.room {
-					t.Fatalf("%s has %v free by its slot, %v by its view", name, sl.room, room)
+				if room := g.plainRoom(name); sl.Known && room != sl.Room {
+					t.Fatalf("%s has %v free by its slot, %v by its view", name, sl.Room, room)
 				}
 			}
 		}
@@ -472,7 +472,7 @@
 			}
 			on[name] = kept
 			g.show(name, "m8", "x", false, slices.Clone(kept)...)
-			if g.p.fleet.slots[name].shut > g.Now() {
+			if g.p.fleet.slots[name].Shut > g.Now() {
 				rested[name] = true
 			}
 		}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -7,6 +7,8 @@
 
 	"cleatpick/internal/agent"
 	"cleatpick/internal/config"
+	"cleatpick/internal/gate"
+	"cleatpick/internal/health"
 	"cleatpick/internal/job"
 	"cleatpick/internal/loop"
 	"cleatpick/internal/member"
@@ -38,20 +40,20 @@
 
 // Placer owns the tables of the owned teams.
 type Placer struct {
-	r       loop.Runner
-	c       *store.Client
-	log     *slog.Logger
-	cfg     *config.Config
-	n       Node
-	book    *job.Book
-	agent   *agent.Agent
-	teams   map[string]*team
-	on      map[string]map[ref]struct{} // tasks in use by machine
-	health  *health
-	fleet   *fleet
-	placing bool
-	took    loop.Micros // how long the newest pass took
-	scratch []victim
+	r        loop.Runner
+	c        *store.Client
+	log      *slog.Logger
+	cfg      *config.Config
+	n        Node
+	book     *job.Book
+	agent    *agent.Agent
+	teams    map[string]*team
+	on       map[string]map[ref]struct{} // tasks in use by machine
+	failures *health.Failures
+	fleet    *fleet
+	placing  bool
+	took     loop.Micros // how long the newest pass took
+	scratch  []victim
 
 	commitAt loop.Micros // when the next commit is due; 0: none
 	zoneMemo map[string]string
@@ -60,16 +62,16 @@
 	usage    map[string]peer.Usage
 	pre      preemptor
 	turn     turnover
-	paces    map[string]*pace // by job
+	paces    health.Paces
 	checked  map[string]loop.Micros
 }
 
 // New makes the placer.
 func New(r loop.Runner, c *store.Client, log *slog.Logger, cfg *config.Config, n Node, book *job.Book, a *agent.Agent) *Placer {
 	p := &Placer{r: r, c: c, log: log, cfg: cfg, n: n, book: book, agent: a, teams: map[string]*team{}, on: map[string]map[ref]struct{}{},
-		health: newHealth(), fleet: newFleet(), zoneMemo: map[string]string{}, nonce: rand.Uint64() >> 1, usage: map[string]peer.Usage{},
+		failures: health.NewFailures(), fleet: newFleet(), zoneMemo: map[string]string{}, nonce: rand.Uint64() >> 1, usage: map[string]peer.Usage{},
 		pre:     preemptor{claimed: map[*slot]struct{}{}, held: map[string]int{}},
-		checked: map[string]loop.Micros{}, paces: map[string]*pace{}}
+		checked: map[string]loop.Micros{}, paces: health.Paces{}}
 	loop.Every(r, 400*loop.Millisecond, p.tick)
 	loop.Every(r, 60*loop.Second, func() {
 		for m := range p.zoneMemo { // of machines that are gone, once nothing counts there
@@ -192,18 +194,22 @@
 	// What runs on a machine that was not heard lately may have begun long ago. A new
 	// owner that took its first sight for the beginning found every task slow.
 	old := p.fleet.slots[v.Name]
-	unsure := old == nil || now-old.heard > 2*loop.Seconds(p.cfg.Cluster.Workers.ReportS)
+	unsure := old == nil || now-old.Heard > 2*loop.Seconds(p.cfg.Cluster.Workers.ReportS)
 	if old == nil {
 		if typ, ok := p.n.Type(v.Type); ok && len(v.Tasks) == 0 {
 			p.turn.freed += typ.CPUs // one that has just come up is room as well
 		}
 	}
 	sl := p.fleet.view(v, now)
-	p.health.view(now, v)
-	sl.shut = max(sl.shut, p.health.until(v.Name))
+	p.failures.View(now, v)
+	sl.rest(p.failures.Until(v.Name), "tasks fail on it")
 	sl.jobs = p.agent.Jobs(v)
-	p.judgePace(sl, v, sl.jobs, now)
-	p.turn.freed += sl.noteRuns(v, sl.jobs, now, unsure)
+	if slow, factor := sl.runs.Judge(v, sl.jobs, p.paces, now); slow && now >= sl.Shut {
+		p.log.Debug("slow machine rests", "machine", v.Name, "times", factor)
+		sl.rest(now+health.SlowRest, "its tasks run slowly")
+		sl.runs.Rest()
+	}
+	p.turn.freed += sl.runs.Note(v, sl.jobs, now, unsure)
 	for r := range p.on[v.Name] {
 		p.judge(r.t, r.i, v)
 	}
@@ -306,8 +312,7 @@
 // backOff slows a job down that fails wherever it runs, so that it does not
 // make every machine look faulty.
 func (p *Placer) backOff(t *table) {
-	if len(t.failedOn) >= 3 && t.failures >= 3 {
-		d := loop.Second << min(t.failures-3, 5)
+	if d := gate.BackOffFor(t.failures, len(t.failedOn)); d > 0 {
 		t.holdOff = p.r.Now() + d
 		p.log.Info("job fails everywhere, backing off", "job", t.j.ID, "failures", t.failures, "for_us", d)
 	}
@@ -361,13 +366,13 @@
 		}
 	}
 	if sl := p.fleet.slots[machine]; sl != nil {
-		for len(sl.claims) > 0 {
+		for len(sl.Claims) > 0 {
 			p.dropClaim(sl, 0)
 		}
 		p.fleet.gone(machine)
 	}
 	delete(p.checked, machine)
-	p.health.gone(machine)
+	p.failures.Gone(machine)
 	p.Kick()
 }
 
@@ -465,7 +470,7 @@
 // shut keeps a machine out of the choice for a moment, until its newer view is here.
 func (p *Placer) shut(machine string) {
 	if sl := p.fleet.slots[machine]; sl != nil {
-		sl.shut = max(sl.shut, p.r.Now()+300*loop.Millisecond)
+		sl.rest(p.r.Now()+300*loop.Millisecond, "its host refused a start")
 	}
 }
 
@@ -595,7 +600,7 @@
 	t := peer.Tally{Wall: p.r.Wall(), Wants: p.lastWant}
 	now := p.r.Now()
 	for m := range p.on {
-		if sl := p.fleet.slots[m]; sl == nil || now-sl.heard > p.staleAfter() {
+		if sl := p.fleet.slots[m]; sl == nil || now-sl.Heard > p.staleAfter() {
 			t.Suspect = append(t.Suspect, m)
 		}
 	}
--- a/internal/placer/preempt.go
+++ b/internal/placer/preempt.go
@@ -21,55 +21,6 @@
 	news    []peer.Claim
 }
 
-type runSince struct {
-	attempt uint64
-	since   loop.Micros
-	late    bool // it has spoken against its machine
-	heard   bool // its run time was taken in
-	unsure  bool // it may have begun long before it was first seen
-}
-
-// noteRuns follows a view: since when its tasks run, by which is judged what a stop
-// would lose, and which images they use.
-//
-// It tells how many CPUs fell free by tasks that completed.
-func (sl *slot) noteRuns(v *agent.View, jobs []*job.Job, now loop.Micros, unsure bool) (freed float64) {
-	n := 0
-	sl.since = make([]loop.Micros, len(v.Tasks))
-	for i := range v.Tasks {
-		t := &v.Tasks[i]
-		if t.State == wire.TaskExited && t.Why == wire.WhyDone {
-			if o, ok := sl.runs[t.Task]; ok && o.attempt == t.Attempt && jobs[i] != nil && jobs[i].Spec != nil {
-				freed += jobs[i].Spec.CPUs
-			}
-			continue
-		}
-		if t.State != wire.TaskRunning && t.State != wire.TaskSaving {
-			continue
-		}
-		if j := jobs[i]; j != nil && j.Spec != nil {
-			sl.images[j.Spec.Image] = now
-		}
-		if t.State == wire.TaskRunning {
-			n++
-			o, ok := sl.runs[t.Task]
-			if !ok || o.attempt != t.Attempt {
-				o = runSince{attempt: t.Attempt, since: now, unsure: unsure}
-				sl.runs[t.Task] = o
-			}
-			sl.since[i] = o.since
-		}
-	}
-	if len(sl.runs) > n {
-		for task, r := range sl.runs {
-			if x := v.Find(task, r.attempt); x == nil || x.State != wire.TaskRunning {
-				delete(sl.runs, task)
-			}
-		}
-	}
-	return freed
-}
-
 // turnover follows how many CPUs a second fall free on the whole fleet by tasks that
 // complete: what is urgent need not stop anything that turnover frees in time. With a
 // large fleet that is most of it.
@@ -103,18 +54,18 @@
 	if sl == nil {
 		return // nothing is placed here on a machine that was not heard
 	}
-	sl.claims = append(sl.claims, c)
+	sl.Claims = append(sl.Claims, c)
 	p.pre.claimed[sl] = struct{}{}
 	p.pre.held[c.Job]++
 }
 
 func (p *Placer) dropClaim(sl *slot, i int) {
-	id := sl.claims[i].Job
+	id := sl.Claims[i].Job
 	if p.pre.held[id]--; p.pre.held[id] <= 0 {
 		delete(p.pre.held, id)
 	}
-	sl.claims = append(sl.claims[:i], sl.claims[i+1:]...)
-	if len(sl.claims) == 0 {
+	sl.Claims = append(sl.Claims[:i], sl.Claims[i+1:]...)
+	if len(sl.Claims) == 0 {
 		delete(p.pre.claimed, sl)
 	}
 }
@@ -128,8 +79,8 @@
 
 // useClaim takes a claim of the job on this machine away, since a task took the room.
 func (p *Placer) useClaim(sl *slot, id string) {
-	for i := range sl.claims {
-		if sl.claims[i].Job == id {
+	for i := range sl.Claims {
+		if sl.Claims[i].Job == id {
 			p.dropClaim(sl, i)
 			return
 		}
@@ -139,8 +90,8 @@
 func (p *Placer) expireClaims() {
 	wall := p.r.Wall()
 	for sl := range p.pre.claimed {
-		for i := len(sl.claims) - 1; i >= 0; i-- {
-			if wall >= sl.claims[i].Until {
+		for i := len(sl.Claims) - 1; i >= 0; i-- {
+			if wall >= sl.Claims[i].Until {
 				p.dropClaim(sl, i)
 			}
 		}
@@ -190,8 +141,8 @@
 // victims lists what may be stopped on a machine, the least loss first.
 func (p *Placer) victims(out []victim, t *table, sl *slot, now loop.Micros, within bool, excess map[string]float64) []victim {
 	urgent := t.j.Spec.Priority >= job.High
-	for i := range sl.v.Tasks {
-		x := &sl.v.Tasks[i]
+	for i := range sl.V.Tasks {
+		x := &sl.V.Tasks[i]
 		if x.State != wire.TaskRunning && x.State != wire.TaskFetching {
 			continue
 		}
@@ -204,8 +155,8 @@
 		}
 		s := j.Spec
 		var ran loop.Micros
-		if sl.since[i] != 0 {
-			ran = now - sl.since[i]
+		if sl.runs.Since[i] != 0 {
+			ran = now - sl.runs.Since[i]
 		}
 		y := victim{task: x, spec: s}
 		switch {
@@ -242,15 +193,16 @@
 func (p *Placer) optionOn(t *table, sl *slot, now loop.Micros, within bool, excess map[string]float64) (option, bool) {
 	s := t.j.Spec
 	o := option{sl: sl}
-	if !allowed(t, sl.v) {
+	need := t.need()
+	if !sl.Allowed(&need) {
 		return o, false
 	}
 	p.scratch = p.victims(p.scratch[:0], t, sl, now, within, excess)
 	if len(p.scratch) == 0 {
 		return o, false
 	}
-	room := sl.beside(t)
-	if !sl.hasImage(s.Image) {
+	room := sl.Beside(&need)
+	if !sl.runs.HasImage(s.Image) {
 		o.cost = 20 * s.CPUs
 	}
 	n := 0
@@ -289,7 +241,7 @@
 	after := now - p.staleAfter()
 	var all options
 	for _, sl := range p.fleet.order {
-		if !sl.open(after, now) {
+		if !sl.Open(after, now) {
 			continue
 		}
 		if o, ok := p.optionOn(t, sl, now, within, excess); ok {
@@ -316,14 +268,14 @@
 		for _, y := range o.set {
 			wait = max(wait, y.grace)
 			excess[y.spec.Team] -= y.spec.CPUs
-			o.sl.room.Give(y.spec)
+			o.sl.Room.Give(y.spec)
 			o.sl.stopped = append(o.sl.stopped, stopping{attempt{y.task.Task, y.task.Attempt}, now + y.grace + 5*loop.Second})
-			p.log.Debug("preempt", "task", y.task.Task, "machine", o.sl.v.Name, "for", t.j.ID, "grace_us", y.grace)
-			p.n.Stop(o.sl.v.Host, agent.Stop{Machine: o.sl.v.Name, Task: y.task.Task, Attempt: y.task.Attempt, Grace: y.grace})
+			p.log.Debug("preempt", "task", y.task.Task, "machine", o.sl.V.Name, "for", t.j.ID, "grace_us", y.grace)
+			p.n.Stop(o.sl.V.Host, agent.Stop{Machine: o.sl.V.Name, Task: y.task.Task, Attempt: y.task.Attempt, Grace: y.grace})
 		}
-		o.sl.room.Take(s)
+		o.sl.Room.Take(s)
 		p.fleet.touch(o.sl)
-		c := peer.Claim{Machine: o.sl.v.Name, Job: t.j.ID, Priority: int(s.Priority), CPUs: s.CPUs, GPUs: s.GPUs, MemoryGB: s.MemoryGB,
+		c := peer.Claim{Machine: o.sl.V.Name, Job: t.j.ID, Priority: int(s.Priority), CPUs: s.CPUs, GPUs: s.GPUs, MemoryGB: s.MemoryGB,
 			Until: p.r.Wall() + wait + 4*loop.Second}
 		p.addClaim(c)
 		p.pre.news = append(p.pre.news, c)
--- a/internal/placer/table.go
+++ b/internal/placer/table.go
@@ -62,7 +62,8 @@
 	closing   bool           // the job's completion is being stored
 	failedOn  map[string]bool
 	failures  int
-	holdOff   loop.Micros
+	holdOff   loop.Micros // it failed everywhere, and rests until then
+	damaged   bool        // a record of its tasks cannot be read
 	missing   loop.Micros // since when tasks of it find no room; 0: none does
 	toldDone  int64
 	toldRun   int64
