Holds, dependencies and cordons, bound to every start by the transaction that records it

Change: a hold and the jobs to wait for stand in the job's record, whose version every recorded start compares; all cordons stand in one record, compared in the same transaction. The conditions are taken with the record and no longer at each try. A hold settles until nothing recorded before it can begin, then its owner calls it set. Hosts keep back what they know to be held or cordoned; the leader rents nothing where a cordon bars it.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -84,6 +84,9 @@
 	// Changed is called for every newer view, of any node.
 	Changed func(*View)
 	Drop    func(to string, d Drop)
+	// Barred tells why no start of the job may reach the machine now, beyond the job
+	// being over: a hold, a cordon. It may be nil.
+	Barred  func(j *job.Job, v *View) string
 	ClockTo loop.Micros // twice the bound on the time of day
 }
 
@@ -300,7 +303,7 @@
 		if p.direct || p.limbo != 0 || wall >= p.s.Expiry {
 			continue
 		}
-		if j := a.job(k.task); j == nil || j.Final() {
+		if j := a.job(k.task); j == nil || j.Final() || a.barred(j, &m.view) != "" {
 			continue
 		}
 		if direct {
@@ -396,6 +399,9 @@
 	case !a.h.MayStart():
 		return "no state contact"
 	}
+	if why := a.barred(j, &m.view); why != "" {
+		return why
+	}
 	m.view.resolved = false // it is not a published view, and changes
 	if room, ok := a.Room(&m.view, typ); !ok || !room.Fits(j.Spec) {
 		return "full"
@@ -403,6 +409,13 @@
 	return ""
 }
 
+func (a *Agent) barred(j *job.Job, v *View) string {
+	if a.h.Barred == nil {
+		return ""
+	}
+	return a.h.Barred(j, v)
+}
+
 // touchSoon renews what others see of the machine once for several causes that come
 // together: the starts of a large job reach a machine one after another.
 func (a *Agent) touchSoon(m *machine) {
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -87,9 +87,10 @@
 
 // Dep is a job that must be done first, as far as it is known.
 type Dep struct {
-	_     struct{} `cbor:",toarray"`
-	ID    string
-	Phase job.Phase // empty: not known here yet
+	_      struct{} `cbor:",toarray"`
+	ID     string
+	Phase  job.Phase // empty: not known here yet
+	Waived bool      // an operator released the job from this one, which was withdrawn
 }
 
 // Job are the facts by which a job's own gates judge, all its machines left aside.
@@ -98,7 +99,6 @@
 	Hold        job.Hold
 	After       []Dep
 	OnWithdrawn job.Policy
-	Waived      bool // an operator released it from jobs that were withdrawn
 	Damaged     bool
 	Waiting     int
 	InUse       int // tasks that may be on machines
@@ -192,7 +192,7 @@
 	case job.Done:
 		return true
 	case job.Withdrawn:
-		return j.OnWithdrawn == job.PolicyRelease || (j.Waived && j.OnWithdrawn == job.PolicyHold)
+		return j.OnWithdrawn == job.PolicyRelease || d.Waived
 	}
 	return false
 }
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -80,10 +80,11 @@
 
 // Record is what the state service holds of a job. A job that is over keeps only its phase.
 type Record struct {
-	Phase Phase `cbor:"st"`
-	At    int64 `cbor:"at,omitempty"` // time of day of the acceptance
-	Spec  *Spec `cbor:"s,omitempty"`
-	Tasks int   `cbor:"n,omitempty"`
+	Phase Phase  `cbor:"st"`
+	At    int64  `cbor:"at,omitempty"` // time of day of the acceptance
+	Spec  *Spec  `cbor:"s,omitempty"`
+	Tasks int    `cbor:"n,omitempty"`
+	Terms *Terms `cbor:"x,omitempty"`
 }
 
 // Job is a job as known here.
@@ -94,6 +95,7 @@
 	At    int64
 	Spec  *Spec
 	Tasks int
+	Terms Terms
 }
 
 // Final tells whether the job is over.
@@ -112,10 +114,11 @@
 }
 
 type pendingCreate struct {
-	id   string
-	spec *Spec
-	cb   []func(Answer)
-	dead loop.Micros
+	id    string
+	spec  *Spec
+	terms *Terms
+	cb    []func(Answer)
+	dead  loop.Micros
 }
 
 type pendingCheck struct {
@@ -183,6 +186,10 @@
 	} else {
 		j.Tasks = rec.Tasks
 	}
+	j.Terms = Terms{}
+	if rec.Terms != nil {
+		j.Terms = *rec.Terms
+	}
 	if b.OnJob != nil {
 		b.OnJob(j)
 	}
@@ -213,7 +220,11 @@
 }
 
 // Submit stores a job unless it exists; cb gets 201 or 200, or 503.
-func (b *Book) Submit(id string, spec *Spec, cb func(Answer)) {
+func (b *Book) Submit(id string, spec *Spec, cb func(Answer)) { b.Propose(id, spec, &Terms{}, cb) }
+
+// Propose is Submit for a job with terms. The jobs that it waits for must have been
+// found in the store; since no record is ever removed, they are there for good.
+func (b *Book) Propose(id string, spec *Spec, terms *Terms, cb func(Answer)) {
 	if b.bad[id] {
 		cb(Answer{Code: 503, ID: id})
 		return
@@ -230,7 +241,7 @@
 		cb(Answer{Code: 429, ID: id})
 		return
 	}
-	b.creates[id] = &pendingCreate{id: id, spec: spec, cb: []func(Answer){cb}, dead: b.r.Now() + patience}
+	b.creates[id] = &pendingCreate{id: id, spec: spec, terms: terms.stored(), cb: []func(Answer){cb}, dead: b.r.Now() + patience}
 	b.order = append(b.order, id)
 	b.pumpCreates()
 }
@@ -267,7 +278,7 @@
 			later = append(later, id)
 			continue
 		}
-		rec := Record{Phase: Accepted, At: b.r.Wall(), Spec: p.spec}
+		rec := Record{Phase: Accepted, At: b.r.Wall(), Spec: p.spec, Terms: p.terms}
 		size += 600 + len(wire.Marshal(rec))
 		recs[id] = rec
 		ids = append(ids, id)
@@ -457,59 +468,6 @@
 	}
 }
 
-// Withdraw stores a cancellation unless the job is done; cb gets the final state, 404 or 503.
-func (b *Book) Withdraw(id string, cb func(Answer)) {
-	if b.bad[id] {
-		cb(Answer{Code: 503, ID: id})
-		return
-	}
-	dead := b.r.Now() + patience
-	var try func()
-	try = func() {
-		j := b.jobs[id]
-		if j == nil {
-			b.fetch(id, func(a Answer) {
-				if a.Code == 200 {
-					try()
-					return
-				}
-				cb(a)
-			})
-			return
-		}
-		if j.Final() {
-			cb(answer(j, 200))
-			return
-		}
-		if b.r.Now() >= dead {
-			cb(Answer{Code: 503, ID: id})
-			return
-		}
-		rec := Record{Phase: Withdrawn, At: j.At, Spec: j.Spec}
-		b.c.Txn(store.Answers, wire.Txn{If: []wire.Cond{{Key: Keys + id, Mark: j.Mark}},
-			Then: []wire.Change{{Put: Keys + id, Value: rec}}}, func(r store.Result) {
-			switch r.Outcome {
-			case store.Applied:
-				b.m.Apply(Keys+id, wire.Marshal(rec), r.Tally, false)
-				cb(answer(b.jobs[id], 200))
-			case store.Conflict:
-				b.fetch(id, func(a Answer) {
-					if a.Code == 200 {
-						try()
-						return
-					}
-					cb(Answer{Code: 503, ID: id})
-				})
-			case store.Refused:
-				cb(Answer{Code: 503, ID: id})
-			default:
-				b.r.After(120*loop.Millisecond, try)
-			}
-		})
-	}
-	try()
-}
-
 // DoneChange is the change that makes a job done; it goes with DoneCond.
 func DoneChange(j *Job) wire.Change {
 	return wire.Change{Put: Keys + j.ID, Value: Record{Phase: Done, At: j.At, Tasks: j.Tasks}}
--- a/internal/job/terms.go
+++ b/internal/job/terms.go
@@ -1,6 +1,10 @@
 package job
 
-import "cleatpick/internal/loop"
+import (
+	"slices"
+
+	"cleatpick/internal/loop"
+)
 
 // HoldState names where a job's hold stands.
 type HoldState string
@@ -47,11 +51,11 @@
 	Hold        Hold     `cbor:"h,omitempty"`
 	After       []string `cbor:"a,omitempty"`
 	OnWithdrawn Policy   `cbor:"o,omitempty"`
-	Waived      bool     `cbor:"w,omitempty"` // released from jobs that were withdrawn
+	Waived      []string `cbor:"w,omitempty"` // of After, withdrawn, and released from by an operator
 }
 
 func (t *Terms) empty() bool {
-	return t.Hold.State == HoldNone && len(t.After) == 0 && t.OnWithdrawn == PolicyHold && !t.Waived
+	return t.Hold.State == HoldNone && len(t.After) == 0
 }
 
 // stored is the form of the terms in a record: nil where there are none.
@@ -62,3 +66,6 @@
 	c := *t
 	return &c
 }
+
+// WaivedFrom tells whether the job was released from waiting for this one.
+func (t *Terms) WaivedFrom(id string) bool { return slices.Contains(t.Waived, id) }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -10,6 +10,7 @@
 
 	"cleatpick/internal/agent"
 	"cleatpick/internal/config"
+	"cleatpick/internal/cordon"
 	"cleatpick/internal/front"
 	"cleatpick/internal/job"
 	"cleatpick/internal/loop"
@@ -33,6 +34,7 @@
 	mirror   *store.Mirror
 	member   *member.Member
 	book     *job.Book
+	cordons  *cordon.Book
 	agent    *agent.Agent
 	placer   *placer.Placer
 	rental   *rental.Rental
@@ -92,6 +94,7 @@
 	}
 	n.member = member.New(l, n.client, n.mirror, log, cfg.Label, teams, loop.Seconds(cfg.Operator.NodeLeaseS))
 	n.book = job.NewBook(l, n.client, n.mirror, log, cfg.Cluster.State.TxnOps)
+	n.cordons = cordon.NewBook(l, n.client, n.mirror, log, loop.Micros(cfg.Cluster.ClockOffMS*2000))
 	n.net = peer.New(l, log, cfg.Label, cfg.Known)
 	n.agent = agent.New(l, log, agent.Host{
 		Label:     cfg.Label,
@@ -112,6 +115,7 @@
 		Drop: func(to string, d agent.Drop) {
 			n.at(to, func() { l.Post(func() { n.placer.Drop(cfg.Label, d) }) }, func(e *peer.Envelope) { e.Drops = append(e.Drops, d) })
 		},
+		Barred:  n.barred,
 		ClockTo: loop.Micros(cfg.Cluster.ClockOffMS * 2000),
 	}, n.commands)
 	n.placer = placer.New(l, n.client, log, cfg, placer.Node{
@@ -146,7 +150,7 @@
 		Claims: func(c []peer.Claim) {
 			n.net.All(func(e *peer.Envelope) { e.Claims = append(e.Claims, c...) })
 		},
-	}, n.book, n.agent)
+	}, n.book, n.agent, n.cordons)
 	n.rental = rental.New(l, log, cfg, n.client, n.mirror, out.Cloud, n.agent, rental.Node{
 		Close: func(host string, c peer.Close) {
 			n.at(host, func() { n.agent.Close(c.Machine, c.Until) }, func(e *peer.Envelope) { e.Closes = append(e.Closes, c) })
@@ -162,7 +166,10 @@
 		Entitled: n.member.Entitled,
 		Isolated: func() bool { return n.isolated() && !n.member.AllAlone() },
 		Faulty:   n.placer.Faulty,
-		Probe:    n.probe,
+		Cordoned: func(typ, zone string, spot bool) bool {
+			return n.cordons.Barred(cordon.Place{Type: typ, Zone: zone, Spot: spot})
+		},
+		Probe: n.probe,
 	})
 	n.rental.OnGone = n.placer.Gone
 	n.book.OnJob = func(j *job.Job) {
@@ -295,6 +302,17 @@
 // may have been told meanwhile.
 func (n *Node) mayStart() bool { return n.member.Entitled() && n.contact() }
 
+// barred tells why a start that was taken on must not reach its machine any more.
+func (n *Node) barred(j *job.Job, v *agent.View) string {
+	switch {
+	case j.Terms.Hold.State != job.HoldNone && j.Terms.Hold.Shut(n.loop.Wall()):
+		return "held"
+	case n.cordons.Barred(cordon.Place{Machine: v.Name, Type: v.Type, Zone: v.Zone, Spot: v.Spot}):
+		return "cordoned"
+	}
+	return ""
+}
+
 // mayAnswer tells whether reports may be answered. Without state contact a node
 // must not hold workers' leases for so long that a cancellation told elsewhere
 // could not be kept; while no node has contact, none can be told.
--- a/internal/node/sim_test.go
+++ b/internal/node/sim_test.go
@@ -78,18 +78,22 @@
 	})
 }
 
-// The real nodes are played against a plain model of workers, cloud and state
-// service, with crashes, cuts, outages and late messages. The referee checks every
-// rule at every start and every answer; afterwards everything must get done.
-func TestRulesUnderTroubles(t *testing.T) {
-	// CLEATPICK_SEEDS="from to" plays others, as a hunt for broken rules;
-	// CLEATPICK_TRACE=1 prints the nodes' logs with it.
-	from, to := uint64(1), uint64(16)
+// seeds are the worlds to play. CLEATPICK_SEEDS="from to" plays others, as a hunt for
+// broken rules; CLEATPICK_TRACE=1 prints the nodes' logs with it.
+func seeds(t *testing.T, from, to uint64) (uint64, uint64) {
 	if s := os.Getenv("CLEATPICK_SEEDS"); s != "" {
 		if _, err := fmt.Sscan(s, &from, &to); err != nil {
 			t.Fatal(err)
 		}
 	}
+	return from, to
+}
+
+// The real nodes are played against a plain model of workers, cloud and state
+// service, with crashes, cuts, outages and late messages. The referee checks every
+// rule at every start and every answer; afterwards everything must get done.
+func TestRulesUnderTroubles(t *testing.T) {
+	from, to := seeds(t, 1, 16)
 	for seed := from; seed <= to; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
--- /dev/null
+++ b/internal/node/terms_test.go
@@ -0,0 +1,240 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+
+	"cleatpick/internal/agent"
+	"cleatpick/internal/cordon"
+	"cleatpick/internal/job"
+	"cleatpick/internal/loop"
+	"cleatpick/internal/wire"
+)
+
+// terms is the referee of holds, dependencies and cordons. It goes by what users were
+// told, what the state service stored and what workers began, and by nothing else.
+type terms struct {
+	w        *world
+	held     map[string]bool        // users were told that the hold is set, and asked for no release yet
+	released map[string]bool        // a release was asked for
+	recorded map[string]loop.Micros // when the newest attempt of a task was stored as placed
+	attempts map[string]uint64
+	cordons  map[string]cordon.Cordon
+	since    map[string]loop.Micros // when its user was told that the cordon is stored
+	checked  struct{ holds, deps, cordons, settled int }
+}
+
+func newTerms(w *world) *terms {
+	r := &terms{w: w, held: map[string]bool{}, released: map[string]bool{}, recorded: map[string]loop.Micros{}, attempts: map[string]uint64{},
+		cordons: map[string]cordon.Cordon{}, since: map[string]loop.Micros{}}
+	w.state.Stored = r.stored
+	w.onBegan = r.began
+	return r
+}
+
+// stored follows the teams' logs as the state service takes them.
+func (r *terms) stored(key string, value wire.Raw) {
+	var seg struct {
+		Jobs []struct {
+			_     struct{} `cbor:",toarray"`
+			ID    string
+			Tasks []struct {
+				_            struct{} `cbor:",toarray"`
+				Index, State int
+				Attempt      uint64
+				Machine      int
+				Session      uint64
+				Expiry       int64
+			}
+		} `cbor:"j"`
+	}
+	if key[:2] != "x/" || wire.Unmarshal(value, &seg) != nil {
+		return
+	}
+	for _, j := range seg.Jobs {
+		for _, e := range j.Tasks {
+			name := agent.TaskName(j.ID, e.Index)
+			if e.State == 1 && e.Attempt > r.attempts[name] {
+				r.attempts[name], r.recorded[name] = e.Attempt, r.w.now
+			}
+		}
+	}
+}
+
+func (r *terms) began(x *simWorker, task string) {
+	id, _, _ := agent.SplitTask(task)
+	if r.held[id] {
+		r.w.fail("began_held: %s begins on %s, after its hold was called set", task, x.w.Name)
+	}
+	if j := r.w.jobs[id]; j.terms != nil {
+		for _, d := range j.terms.After {
+			r.checked.deps++
+			phase := r.w.stored(d)
+			if phase == job.Done || (phase == job.Withdrawn && (j.terms.OnWithdrawn == job.PolicyRelease || r.released[id])) {
+				continue
+			}
+			r.w.fail("began_early: %s begins while %s, which must be done first, is %q", task, d, phase)
+		}
+	}
+	for name, c := range r.cordons {
+		if c.Bars(cordon.Place{Machine: x.w.Name, Type: x.w.Type, Zone: x.w.Zone, Spot: x.w.Spot}) {
+			if r.checked.cordons++; r.recorded[task] > r.since[name] {
+				r.w.fail("began_cordoned: %s begins on %s and was recorded after cordon %s was stored", task, x.w.Name, name)
+			}
+		}
+	}
+}
+
+// hold asks for a hold until its user is told of it, then asks until it is set, and
+// releases the job a while later.
+func (r *terms) hold(id string) {
+	w := r.w
+	if n := w.any(); n != nil {
+		n.book.Hold(id, job.Hold{Reason: "r", By: "op"}, func(a job.Answer) {
+			if a.Code == 200 && a.Phase == job.Accepted {
+				r.checked.holds++
+				w.at(w.between(0, loop.Second), func() { r.untilSet(id) })
+				w.at(w.between(10*loop.Second, 50*loop.Second), func() { r.release(id) })
+			}
+		})
+	}
+}
+
+func (r *terms) untilSet(id string) {
+	w := r.w
+	if r.released[id] {
+		return
+	}
+	if n := w.any(); n != nil {
+		n.book.Poll(id, func(a job.Answer) {
+			if j := n.book.Get(id); a.Code == 200 && a.Phase == job.Accepted && !r.released[id] && j.Terms.Hold.State == job.HoldSet {
+				r.held[id] = true
+				r.checked.settled++
+			}
+		})
+	}
+	if !r.held[id] {
+		w.at(loop.Second, func() { r.untilSet(id) })
+	}
+}
+
+func (r *terms) release(id string) {
+	w := r.w
+	r.released[id] = true
+	delete(r.held, id)
+	again := func() { w.at(2*loop.Second, func() { r.release(id) }) }
+	n := w.any()
+	if n == nil {
+		again()
+		return
+	}
+	answered := false
+	n.book.Release(id, func(a job.Answer) {
+		answered = true
+		if a.Code != 200 {
+			again()
+		}
+	})
+	w.at(5*loop.Second, func() {
+		if !answered {
+			r.release(id) // the node ended meanwhile
+		}
+	})
+}
+
+// cordon keeps starts off something for a while.
+func (r *terms) cordon(no int) {
+	w := r.w
+	c := cordon.Cordon{Name: fmt.Sprint("c", no), Reason: "r"}
+	switch w.rng.IntN(3) {
+	case 0:
+		c.Zone = []string{"x", "y"}[w.rng.IntN(2)]
+	case 1:
+		c.Kind = cordon.Spot
+	default:
+		c.Machine = fmt.Sprintf("n-%06d", 1+w.rng.IntN(12))
+	}
+	if n := w.any(); n != nil {
+		n.cordons.Put(c, func(o cordon.Outcome) {
+			if o == cordon.Stored {
+				r.cordons[c.Name], r.since[c.Name] = c, w.now
+			}
+		})
+	}
+	w.at(w.between(5*loop.Second, 25*loop.Second), func() { r.uncordon(c.Name) })
+}
+
+func (r *terms) uncordon(name string) {
+	w := r.w
+	delete(r.cordons, name)
+	answered := false
+	if n := w.any(); n != nil {
+		n.cordons.Remove(name, func(o cordon.Outcome) { answered = o == cordon.Stored || o == cordon.Absent })
+	}
+	w.at(4*loop.Second, func() {
+		if !answered {
+			r.uncordon(name)
+		}
+	})
+}
+
+// Holds, dependencies and cordons against crashes, cuts, outages and late transactions:
+// nothing begins after its hold was called set, before what it waits for is done, or on
+// a record that came after a cordon. Afterwards everything gets done.
+func TestTermsUnderTroubles(t *testing.T) {
+	from, to := seeds(t, 1, 8)
+	var holds, settled, deps, cordons int
+	for seed := from; seed <= to; seed++ {
+		w := newWorld(t, seed)
+		r := newTerms(w)
+		for i := range 45 {
+			w.at(w.between(loop.Second, 140*loop.Second), func() {
+				var known []string
+				for k := range i {
+					if j := w.jobs[fmt.Sprintf("job-%06d", k)]; j != nil && j.accepted && !j.broken {
+						known = append(known, j.id)
+					}
+				}
+				j := w.makeJob(i)
+				if len(known) > 0 && w.rng.IntN(2) == 0 {
+					j.terms = &job.Terms{OnWithdrawn: []job.Policy{job.PolicyHold, job.PolicyRelease, job.PolicyWithdraw}[w.rng.IntN(3)]}
+					for range 1 + w.rng.IntN(2) {
+						j.terms.After = append(j.terms.After, known[w.rng.IntN(len(known))])
+					}
+				}
+				w.enter(j)
+				if w.rng.IntN(3) == 0 {
+					w.at(w.between(0, 12*loop.Second), func() { r.hold(j.id) })
+				}
+			})
+		}
+		for i := range 8 {
+			w.at(w.between(10*loop.Second, 140*loop.Second), func() { r.cordon(i) })
+		}
+		w.at(12*loop.Second, w.trouble)
+		w.at(0, w.live)
+		w.at(0, w.checkCancelled)
+		// Whatever still waits for a job that was withdrawn is released in the end.
+		for k := range 6 {
+			w.at(loop.Micros(240+40*k)*loop.Second, func() {
+				for i := range 45 {
+					if j := w.jobs[fmt.Sprintf("job-%06d", i)]; !j.done && j.withdrawn == 0 && w.stored(j.id) == job.Accepted {
+						r.release(j.id)
+					}
+				}
+			})
+		}
+		w.run(3600*loop.Second + 700*loop.Second)
+		for i := range 45 {
+			j := w.jobs[fmt.Sprintf("job-%06d", i)]
+			if !j.done && j.withdrawn == 0 && !j.broken {
+				t.Errorf("seed %d: %s is not done at the end (terms %v)", seed, j.id, j.terms)
+			}
+		}
+		holds, settled, deps, cordons = holds+r.checked.holds, settled+r.checked.settled, deps+r.checked.deps, cordons+r.checked.cordons
+	}
+	t.Logf("%d holds stored, %d called set; %d starts beside a dependency, %d beside a cordon", holds, settled, deps, cordons)
+	if holds == 0 || settled < holds/2 || deps == 0 {
+		t.Errorf("too little was tried: %d holds stored, %d called set, %d starts beside a dependency", holds, settled, deps)
+	}
+}
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -68,6 +68,7 @@
 	teams   map[string]float64 // use by team
 	cfg     config.Config
 	starts  int
+	onBegan func(x *simWorker, task string)
 }
 
 type cutMode int
@@ -102,6 +103,7 @@
 	done      bool
 	withdrawn loop.Micros
 	asked     bool // its user asked to cancel it
+	terms     *job.Terms
 }
 
 func (w *world) at(d loop.Micros, f func()) {
@@ -408,6 +410,9 @@
 	if j.withdrawn != 0 && w.now > j.withdrawn+loop.Seconds(w.cfg.Cluster.Workers.CancelS) {
 		w.fail("ran_cancelled: %s starts", task)
 	}
+	if w.onBegan != nil {
+		w.onBegan(x, task)
+	}
 	w.active[task] = x.w.Name
 	w.teams[j.spec.Team] += j.spec.CPUs
 	limit, _ := w.cfg.TeamNamed(j.spec.Team)
@@ -462,6 +467,13 @@
 		}
 		j.done = true
 	case job.Withdrawn:
+		if j.terms != nil && j.terms.OnWithdrawn == job.PolicyWithdraw && !j.asked {
+			gone := false
+			for _, d := range j.terms.After {
+				gone = gone || w.stored(d) == job.Withdrawn
+			}
+			j.asked = gone // its user asked for that at the submission
+		}
 		if !j.asked || j.done {
 			w.fail("went_back: %s is called withdrawn (asked %v, done %v)", j.id, j.asked, j.done)
 		}
@@ -486,7 +498,11 @@
 
 func (w *world) submit(j *simJob) {
 	if n := w.any(); n != nil {
-		n.book.Submit(j.id, j.spec, func(a job.Answer) { w.told(j, a) })
+		if j.terms == nil {
+			n.book.Submit(j.id, j.spec, func(a job.Answer) { w.told(j, a) })
+		} else {
+			n.book.Propose(j.id, j.spec, j.terms, func(a job.Answer) { w.told(j, a) })
+		}
 	}
 	w.at(w.between(2*loop.Second, 4*loop.Second), func() {
 		if !j.accepted {
@@ -513,7 +529,9 @@
 	w.at(2*loop.Second, func() { w.withdraw(j) })
 }
 
-func (w *world) addJob(i int) {
+func (w *world) addJob(i int) { w.enter(w.makeJob(i)) }
+
+func (w *world) makeJob(i int) *simJob {
 	r := w.rng
 	s := &job.Spec{Class: "k", Team: []string{"red", "blue"}[r.IntN(2)], Priority: job.Priority(r.IntN(3)), Tasks: 1 + r.IntN(8),
 		CPUs: float64(1 + r.IntN(3)), MemoryGB: 2, Image: "i", ImageGB: 1, AnyType: true, Spot: r.IntN(2) == 0, Estimate: 8 * loop.Second}
@@ -525,11 +543,15 @@
 	case 2:
 		s.Spread = true
 	}
-	j := &simJob{id: fmt.Sprintf("job-%06d", i), spec: s, run: w.between(loop.Second, 20*loop.Second), broken: r.IntN(25) == 0}
+	return &simJob{id: fmt.Sprintf("job-%06d", i), spec: s, run: w.between(loop.Second, 20*loop.Second), broken: r.IntN(25) == 0}
+}
+
+// enter lets a job's user submit it, poll it and perhaps cancel it.
+func (w *world) enter(j *simJob) {
 	w.jobs[j.id] = j
 	w.submit(j)
 	w.at(3*loop.Second, func() { w.poll(j) })
-	if j.broken || r.IntN(8) == 0 {
+	if j.broken || w.rng.IntN(8) == 0 {
 		w.at(w.between(2*loop.Second, 30*loop.Second), func() { w.withdraw(j) })
 	}
 }
--- a/internal/placer/commit.go
+++ b/internal/placer/commit.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"strings"
 
+	"cleatpick/internal/cordon"
 	"cleatpick/internal/job"
 	"cleatpick/internal/loop"
 	"cleatpick/internal/member"
@@ -97,7 +98,8 @@
 type write struct {
 	seg  *segment
 	rec  segmentRecord
-	jobs []*table // whose starts it records
+	jobs []*table    // whose starts it records
+	cond []wire.Cond // that these are as known when the record was taken
 	dead []*segment
 	refs []refAttempt // what it records
 }
@@ -157,6 +159,7 @@
 		return 0 // its end asks again
 	}
 	l.starts = p.due(l.starts, Recording)
+	l.starts = p.unbarred(l.starts)
 	l.outcomes = p.due(l.outcomes, Ended)
 	if len(l.starts)+len(l.outcomes) == 0 {
 		return 0
@@ -194,6 +197,20 @@
 	return kept
 }
 
+// unbarred drops the choices that a hold or a cordon has overtaken.
+func (p *Placer) unbarred(line []ref) []ref {
+	kept := line[:0]
+	for _, r := range line {
+		if p.barred(r.t, r.t.task(r.i).machine) == "" {
+			kept = append(kept, r)
+			continue
+		}
+		p.setTask(r.t, r.i, Waiting)
+	}
+	clear(line[len(kept):])
+	return kept
+}
+
 // compose puts what waits into the open segment and takes its record.
 func (p *Placer) compose(tm *team, writable, ripe int) *write {
 	l := &tm.log
@@ -239,8 +256,8 @@
 }
 
 // mostJobs is how many jobs' versions one transaction can compare, beside those of the
-// claim and the segment.
-func (p *Placer) mostJobs() int { return 4*p.cfg.Cluster.State.TxnOps - 2 }
+// claim, the segment and the cordons.
+func (p *Placer) mostJobs() int { return 4*p.cfg.Cluster.State.TxnOps - 3 }
 
 func (p *Placer) openSegment(tm *team) {
 	l := &tm.log
@@ -324,6 +341,15 @@
 	}
 	clear(w.seg.refs[len(kept):])
 	w.seg.refs, w.seg.size = kept, size
+	// Taken now and not at each try: a hold or a cordon that is stored meanwhile must
+	// make the record fail, however late it is carried out.
+	w.cond = nil
+	for _, t := range w.jobs {
+		w.cond = append(w.cond, job.Cond(t.j))
+	}
+	if len(w.jobs) > 0 {
+		w.cond = append(w.cond, p.cordons.Cond())
+	}
 }
 
 // current tells whether the table is still this node's business.
@@ -342,9 +368,7 @@
 	key := segmentKey(tm.cfg.Name, w.seg.no)
 	txn := wire.Txn{If: []wire.Cond{member.ClaimCond(tm.cfg.Name, tm.claim), {Key: key, Mark: w.seg.mark}},
 		Then: []wire.Change{{Put: key, Value: w.rec}}}
-	for _, t := range w.jobs {
-		txn.If = append(txn.If, job.Cond(t.j))
-	}
+	txn.If = append(txn.If, w.cond...)
 	for _, s := range w.dead {
 		txn.Then = append(txn.Then, wire.Change{Delete: segmentKey(tm.cfg.Name, s.no)})
 	}
@@ -375,6 +399,10 @@
 					known = true
 					p.book.Refresh(id)
 				}
+				if k == cordon.Key {
+					known = true
+					p.cordons.Refresh()
+				}
 			}
 			if !known {
 				again(250 * loop.Millisecond) // the claim: this node is about to learn that it lost the team
@@ -397,6 +425,9 @@
 	for _, r := range w.refs {
 		switch x := r.t.task(r.i); {
 		case x.attempt != r.attempt || !p.current(r.t):
+		case x.state == Recording && p.barred(r.t, x.machine) != "":
+			x.expiry = 0
+			p.setTask(r.t, r.i, Waiting)
 		case x.state == Recording:
 			x.expiry = 0
 			tm.log.starts = append(tm.log.starts, r.ref)
--- a/internal/placer/facts.go
+++ b/internal/placer/facts.go
@@ -2,17 +2,93 @@
 
 import (
 	"cleatpick/internal/agent"
+	"cleatpick/internal/cordon"
 	"cleatpick/internal/gate"
+	"cleatpick/internal/job"
 	"cleatpick/internal/loop"
 )
 
 // facts are what a job's own gates judge by.
 func (p *Placer) facts(t *table) gate.Job {
 	tm := t.team
-	return gate.Job{Spec: t.j.Spec, Damaged: t.damaged, Waiting: t.waiting(), InUse: t.inUse,
-		Failures: t.failures, FailedOn: len(t.failedOn), BackOffTo: t.holdOff,
+	f := gate.Job{Spec: t.j.Spec, Hold: t.j.Terms.Hold, After: p.deps(t.j), OnWithdrawn: t.j.Terms.OnWithdrawn, Damaged: t.damaged,
+		Waiting: t.waiting(), InUse: t.inUse, Failures: t.failures, FailedOn: len(t.failedOn), BackOffTo: t.holdOff,
 		Used: agent.Room{CPUs: tm.cpus, GPUs: tm.gpus}, Max: agent.Room{CPUs: tm.cfg.CPUsMax, GPUs: tm.cfg.GPUsMax},
-		Now: p.r.Now(), Wall: p.r.Wall(), ClockTo: loop.Micros(p.cfg.Cluster.ClockOffMS * 2000)}
+		ClockTo: loop.Micros(p.cfg.Cluster.ClockOffMS * 2000)}
+	// The clocks are read only for the few jobs that ask for it: a pass goes through all.
+	if f.BackOffTo != 0 {
+		f.Now = p.r.Now()
+	}
+	if f.Hold.State != job.HoldNone {
+		f.Wall = p.r.Wall()
+	}
+	return f
+}
+
+// deps tells how the jobs stand that must be done before this one.
+func (p *Placer) deps(j *job.Job) []gate.Dep {
+	if len(j.Terms.After) == 0 {
+		return nil
+	}
+	out := make([]gate.Dep, len(j.Terms.After))
+	for i, id := range j.Terms.After {
+		out[i] = gate.Dep{ID: id, Waived: j.Terms.WaivedFrom(id)}
+		if o := p.book.Get(id); o != nil {
+			out[i].Phase = o.Phase
+		}
+	}
+	return out
+}
+
+// barred tells why no start of the job on this machine may be recorded or sent: a hold,
+// or a cordon, has come since it was chosen. What bars here is stored, and every record
+// of a start is conditioned on the version that was known when it was taken.
+func (p *Placer) barred(t *table, machine string) string {
+	if t.j.Terms.Hold.State != job.HoldNone && t.j.Terms.Hold.Shut(p.r.Wall()) {
+		return "held"
+	}
+	if sl := p.fleet.slots[machine]; sl != nil && p.cordons.Barred(placeOf(sl.V)) {
+		return "cordoned"
+	}
+	return ""
+}
+
+func placeOf(v *agent.View) cordon.Place {
+	return cordon.Place{Machine: v.Name, Type: v.Type, Zone: v.Zone, Spot: v.Spot}
+}
+
+// settle calls the holds of a team's jobs set once nothing that was recorded before them
+// can begin any more, and withdraws jobs whose user wanted that when one before them was.
+func (p *Placer) settle(tm *team) {
+	now := p.r.Now()
+	for _, t := range tm.jobs {
+		if t.j.Final() || now < t.amendAt {
+			continue
+		}
+		if f := p.facts(t); f.MustWithdraw() {
+			t.amendAt = now + 2*loop.Second
+			p.log.Info("withdraws a job with one that it waits for", "job", t.j.ID)
+			p.book.Withdraw(t.j.ID, func(job.Answer) {})
+			continue
+		}
+		if t.j.Terms.Hold.State != job.HoldSettling {
+			continue
+		}
+		sure := true
+		t.each(func(i int, x *task) {
+			if !x.inUse() || x.since != 0 {
+				return // it has begun already, and goes on
+			}
+			sure = false
+			if x.state == Placed {
+				p.stop(t, i, 0)
+			}
+		})
+		if sure {
+			t.amendAt = now + 2*loop.Second
+			p.book.Settle(t.j.ID, t.j.Mark, func(job.Answer) {})
+		}
+	}
 }
 
 // open tells whether no gate shuts the whole job.
--- a/internal/placer/fleet.go
+++ b/internal/placer/fleet.go
@@ -17,26 +17,26 @@
 // slot is a machine as placement sees it.
 type slot struct {
 	gate.Place
-	typ      wire.MachineType
-	used     float64
-	cost     float64 // price by CPU
-	dear     float64 // how far that is above the cheapest of all machines here, from 0 to 1
-	runs     *health.Runs
-	jobs     []*job.Job // of the view's tasks
-	stopped  []stopping
-	cordoned uint64 // the version of the cordons that Cordoned was judged by
-	stale    bool   // waits for a refresh
+	typ     wire.MachineType
+	used    float64
+	cost    float64 // price by CPU
+	dear    float64 // how far that is above the cheapest of all machines here, from 0 to 1
+	runs    *health.Runs
+	jobs    []*job.Job // of the view's tasks
+	stopped []stopping
+	stale   bool // waits for a refresh
 }
 
 // fleet keeps a slot for every machine heard. Slots are brought up to date by refresh,
 // and only those that something happened to: with many machines, a pass that looked at
 // all of them anew cost more than the node's whole share of a core.
 type fleet struct {
-	slots  map[string]*slot
-	order  []*slot // by name
-	sorted bool
-	stale  []*slot
-	priced loop.Micros
+	slots   map[string]*slot
+	order   []*slot // by name
+	sorted  bool
+	stale   []*slot
+	priced  loop.Micros
+	cordons uint64 // the version by which the slots were judged
 }
 
 func newFleet() *fleet { return &fleet{slots: map[string]*slot{}} }
@@ -81,6 +81,12 @@
 		slices.SortFunc(f.order, func(a, b *slot) int { return strings.Compare(a.V.Name, b.V.Name) })
 		f.sorted = true
 	}
+	if v := p.cordons.Version(); v != f.cordons {
+		f.cordons = v
+		for _, sl := range f.order {
+			sl.Cordoned = p.cordons.Barred(placeOf(sl.V))
+		}
+	}
 	due := f.stale
 	f.stale = nil
 	for _, sl := range due {
@@ -118,6 +124,7 @@
 	sl.typ, sl.Room, sl.used = typ, room, typ.CPUs-room.CPUs
 	sl.jobs = p.agent.Jobs(v)
 	sl.Known = true
+	sl.Cordoned = p.cordons.Barred(placeOf(v))
 }
 
 // price compares the machines' prices, which change from time to time.
--- a/internal/placer/place_test.go
+++ b/internal/placer/place_test.go
@@ -15,6 +15,7 @@
 
 	"cleatpick/internal/agent"
 	"cleatpick/internal/config"
+	"cleatpick/internal/cordon"
 	"cleatpick/internal/job"
 	"cleatpick/internal/loop"
 	"cleatpick/internal/member"
@@ -91,7 +92,7 @@
 		Tell:    func([]peer.Progress) {},
 		Usage:   func([]peer.Usage) {},
 		Claims:  func([]peer.Claim) {},
-	}, g.book, g.a)
+	}, g.book, g.a, cordon.NewBook(g, c, g.mirror, log, 0))
 	g.book.OnJob = g.p.Job
 	for _, t := range teams {
 		mark := g.state.Put("c/t/"+t.Name, map[string]any{"n": "a", "e": 1})
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -7,6 +7,7 @@
 
 	"cleatpick/internal/agent"
 	"cleatpick/internal/config"
+	"cleatpick/internal/cordon"
 	"cleatpick/internal/gate"
 	"cleatpick/internal/health"
 	"cleatpick/internal/job"
@@ -46,6 +47,7 @@
 	cfg      *config.Config
 	n        Node
 	book     *job.Book
+	cordons  *cordon.Book
 	agent    *agent.Agent
 	teams    map[string]*team
 	on       map[string]map[ref]struct{} // tasks in use by machine
@@ -67,8 +69,8 @@
 }
 
 // New makes the placer.
-func New(r loop.Runner, c *store.Client, log *slog.Logger, cfg *config.Config, n Node, book *job.Book, a *agent.Agent) *Placer {
-	p := &Placer{r: r, c: c, log: log, cfg: cfg, n: n, book: book, agent: a, teams: map[string]*team{}, on: map[string]map[ref]struct{}{},
+func New(r loop.Runner, c *store.Client, log *slog.Logger, cfg *config.Config, n Node, book *job.Book, a *agent.Agent, cordons *cordon.Book) *Placer {
+	p := &Placer{r: r, cordons: cordons, c: c, log: log, cfg: cfg, n: n, book: book, agent: a, teams: map[string]*team{}, on: map[string]map[ref]struct{}{},
 		failures: health.NewFailures(), fleet: newFleet(), zoneMemo: map[string]string{}, nonce: rand.Uint64() >> 1, usage: map[string]peer.Usage{},
 		pre:     preemptor{claimed: map[*slot]struct{}{}, held: map[string]int{}},
 		checked: map[string]loop.Micros{}, paces: health.Paces{}}
@@ -427,6 +429,13 @@
 		}
 		return
 	}
+	if why := p.barred(t, x.machine); why != "" {
+		// What was sent may still begin; what never was does not any more.
+		if x.sentTo == "" && x.ours {
+			p.off(t, i, why)
+		}
+		return
+	}
 	if x.sentTo != "" && x.sentTo != v.Host {
 		x.spread = true
 	}
@@ -508,6 +517,7 @@
 		if !tm.loaded {
 			continue
 		}
+		p.settle(tm)
 		use = append(use, peer.Usage{Team: tm.cfg.Name, CPUs: tm.cpus, GPUs: tm.gpus})
 		for _, t := range tm.jobs {
 			d, run := int64(t.completed), int64(t.running)
--- a/internal/placer/preempt.go
+++ b/internal/placer/preempt.go
@@ -7,6 +7,7 @@
 	"sort"
 
 	"cleatpick/internal/agent"
+	"cleatpick/internal/gate"
 	"cleatpick/internal/job"
 	"cleatpick/internal/loop"
 	"cleatpick/internal/peer"
@@ -307,7 +308,8 @@
 func (p *Placer) guaranteed(tm *team) map[*table]bool {
 	all := make([]*table, 0, len(tm.jobs))
 	for _, t := range tm.jobs {
-		if !t.j.Final() {
+		f := p.facts(t)
+		if resting := t.inUse == 0 && (f.Passes(gate.Hold) == 0 || f.Passes(gate.Dependency) == 0); !t.j.Final() && !resting {
 			all = append(all, t)
 		}
 	}
--- a/internal/placer/table.go
+++ b/internal/placer/table.go
@@ -64,6 +64,7 @@
 	failures  int
 	holdOff   loop.Micros // it failed everywhere, and rests until then
 	damaged   bool        // a record of its tasks cannot be read
+	amendAt   loop.Micros // its record is not amended again before
 	missing   loop.Micros // since when tasks of it find no room; 0: none does
 	toldDone  int64
 	toldRun   int64
--- a/internal/rental/order.go
+++ b/internal/rental/order.go
@@ -42,7 +42,7 @@
 func (t *Rental) expected() []*coming {
 	var out []*coming
 	add := func(typ, zone string, spot bool) {
-		if x, ok := t.byName[typ]; ok {
+		if x, ok := t.byName[typ]; ok && !t.cordoned(offer{typ, zone, spot}) {
 			out = append(out, &coming{offer{typ, zone, spot}, agent.Room{CPUs: x.CPUs, GPUs: x.GPUs, MemoryGB: x.MemoryGB}})
 		}
 	}
@@ -64,6 +64,11 @@
 	return out
 }
 
+// cordoned tells whether what is rented there would take no starts.
+func (t *Rental) cordoned(o offer) bool {
+	return t.n.Cordoned != nil && t.n.Cordoned(o.typ, o.zone, o.spot)
+}
+
 func (c *coming) take(s *job.Spec, n int) int {
 	if !s.AllowsPlace(c.offer.typ, c.offer.zone, c.offer.spot) {
 		return 0
@@ -155,7 +160,7 @@
 				if !s.AllowsPlace(x.Name, z, spot) {
 					continue
 				}
-				if b := t.offers[o]; b != nil && now < b.until {
+				if b := t.offers[o]; (b != nil && now < b.until) || t.cordoned(o) {
 					continue
 				}
 				price := x.Price
--- a/internal/rental/rental.go
+++ b/internal/rental/rental.go
@@ -117,6 +117,8 @@
 	// it hears no peer at all.
 	Entitled func() bool
 	Isolated func() bool
+	// Cordoned tells whether no machine of this type, zone and kind takes starts; it may be nil.
+	Cordoned func(typ, zone string, spot bool) bool
 	// Faulty tells whether a machine fails tasks of several jobs.
 	Faulty func(machine string) bool
 	// Probe asks a worker for its report; it blocks, and runs off the loop.
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -35,6 +35,8 @@
 	events []wire.Event
 	last   uint64
 	down   bool
+	// Stored is told of every put as it is carried out; it may be nil.
+	Stored func(key string, value wire.Raw)
 }
 
 // NewState makes an empty state service on a clock.
@@ -74,6 +76,9 @@
 func (s *State) put(key string, v wire.Raw, lease uint64) {
 	s.keys[key] = stateKey{v, s.tally, lease}
 	s.events = append(s.events, wire.Event{Put: key, Value: v, Mark: s.tally})
+	if s.Stored != nil {
+		s.Stored(key, v)
+	}
 }
 
 func (s *State) remove(key string) {
