--- a/cmd/cleatpick/main.go
+++ b/cmd/cleatpick/main.go
@@ -1,74 +1,85 @@
-// Command cleatpick is one controller of the cluster scheduler.
+// Command cleatpick is a controller of the cluster scheduler, and the command line for
+// its users and operators.
 package main
 
 import (
-	"context"
+	"errors"
 	"fmt"
-	"log/slog"
 	"os"
-	"os/signal"
-	"runtime/debug"
 	"strings"
 
-	"cleatpick/internal/config"
-	"cleatpick/internal/node"
+	"cleatpick/internal/client"
 
 	"github.com/alecthomas/kong"
 )
 
 // version is what --version prints.
-const version = "0.2.0"
+const version = "0.3.0"
 
 type cli struct {
-	Config   string           `help:"The platform's settings file (TOML)." placeholder:"FILE" required:""`
-	Operator string           `help:"The operators' own settings file (TOML)." placeholder:"FILE"`
-	Check    bool             `help:"Check the settings and end."`
+	Serve    serveCmd         `cmd:"" default:"withargs" help:"Run a controller (what happens without a command)."`
+	Submit   submitCmd        `cmd:"" help:"Submit a job."`
+	Explain  explainCmd       `cmd:"" help:"Tell every reason why a job's tasks do not run."`
+	Jobs     jobsCmd          `cmd:"" help:"List jobs."`
+	Queue    queueCmd         `cmd:"" help:"Tell why work waits, by team and class."`
+	Hold     holdCmd          `cmd:"" help:"Keep a job's tasks from being started."`
+	Release  releaseCmd       `cmd:"" help:"End a job's hold."`
+	Withdraw withdrawCmd      `cmd:"" help:"Cancel a job."`
+	Machines machinesCmd      `cmd:"" help:"List machines, and what keeps work off them."`
+	Cordon   cordonCmd        `cmd:"" help:"Keep new starts off machines."`
+	Uncordon uncordonCmd      `cmd:"" help:"Lift a cordon."`
+	Cordons  cordonsCmd       `cmd:"" help:"List the cordons in force."`
+	Key      keyCmd           `cmd:"" help:"Draw a key for /v1/ and print its entry for the operators' file."`
 	Version  kong.VersionFlag `help:"Print the version and end."`
 }
 
-func main() {
-	var args cli
-	parser := kong.Must(&args, kong.Name("cleatpick"), kong.Description("A cluster scheduler that rents machines by its misses."),
-		kong.Vars{"version": "cleatpick " + version})
-	if _, err := parser.Parse(os.Args[1:]); err != nil {
-		fmt.Fprintln(os.Stderr, "cleatpick:", err)
-		os.Exit(2)
-	}
-	cfg, err := config.Load(args.Config, args.Operator)
-	if err != nil {
-		for _, line := range strings.Split(err.Error(), "\n") {
-			fmt.Fprintln(os.Stderr, "cleatpick:", line)
+// remote are the flags of all commands that ask a controller.
+type remote struct {
+	Endpoint string `help:"Controllers to ask, tried in turn: HOST:PORT,..." env:"CLEATPICK_ENDPOINT" placeholder:"LIST"`
+	KeyFile  string `help:"File that holds the key." env:"CLEATPICK_KEY_FILE" placeholder:"FILE"`
+	Key      string `kong:"-"`
+	JSON     bool   `name:"json" help:"Print JSON for programs."`
+}
+
+// usage is an error of the caller's: exit code 2.
+type usage struct{ error }
+
+func (r *remote) client() (*client.Client, error) {
+	key := os.Getenv("CLEATPICK_KEY")
+	if r.KeyFile != "" {
+		var err error
+		if key, err = client.ReadKey(r.KeyFile); err != nil {
+			return nil, usage{err}
 		}
-		os.Exit(2)
 	}
-	level, err := logLevel(os.Getenv("LOG_LEVEL"))
+	c, err := client.New(r.Endpoint, key)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "cleatpick:", err)
-		os.Exit(2)
-	}
-	if args.Check {
-		fmt.Println("settings are sound")
-		return
-	}
-	// The machines are small: the collector is told how much there is.
-	debug.SetMemoryLimit(int64(cfg.Cluster.Limits.RAMMB * 0.6 * (1 << 20)))
-	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
-	defer stop()
-	if err := node.New(cfg, log).Run(ctx); err != nil && ctx.Err() == nil {
-		log.Error("ended", "err", err)
-		os.Exit(1)
+		return nil, usage{err}
 	}
+	return c, nil
 }
 
-func logLevel(s string) (slog.Level, error) {
-	switch s {
-	case "error":
-		return slog.LevelError, nil
-	case "", "info":
-		return slog.LevelInfo, nil
-	case "debug":
-		return slog.LevelDebug, nil
+func main() { os.Exit(run(os.Args[1:])) }
+
+// run gives the exit code: 0; 1 when the answer is no, or the other end failed; 2 for misuse.
+func run(args []string) int {
+	var c cli
+	parser := kong.Must(&c, kong.Name("cleatpick"), kong.Description("A cluster scheduler that rents machines by its misses."),
+		kong.Vars{"version": "cleatpick " + version})
+	ctx, err := parser.Parse(args)
+	if err == nil {
+		err = ctx.Run()
+	} else {
+		err = usage{err}
+	}
+	if err == nil {
+		return 0
+	}
+	for _, line := range strings.Split(err.Error(), "\n") {
+		fmt.Fprintln(os.Stderr, "cleatpick:", line)
+	}
+	if errors.As(err, &usage{}) {
+		return 2
 	}
-	return 0, fmt.Errorf("LOG_LEVEL: must be error, info or debug, is %q", s)
+	return 1
 }
--- /dev/null
+++ b/internal/api/cluster.go
@@ -0,0 +1,252 @@
+package api
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"cleatpick/internal/cordon"
+	"cleatpick/internal/explain"
+	"cleatpick/internal/job"
+)
+
+// Machine is a machine as this node knows it.
+type Machine struct {
+	Name         string   `json:"name"`
+	Type         string   `json:"type"`
+	Zone         string   `json:"zone"`
+	Kind         string   `json:"kind"`
+	ReportsTo    string   `json:"reportsTo"`
+	Tasks        int      `json:"tasks"`
+	CPUsFree     *float64 `json:"cpusFree,omitempty"` // absent while not known
+	MemoryFreeGB *float64 `json:"memoryFreeGb,omitempty"`
+	// Shut is what keeps every task off it, by the names of the machine gates.
+	Shut       []string      `json:"shut"`
+	RestsUntil *explain.Time `json:"restsUntil,omitempty"`
+	RestsSince string        `json:"restsBecause,omitempty"`
+	LeavesAt   *explain.Time `json:"leavesAt,omitempty"` // the cloud takes it then
+	Cordons    []string      `json:"cordons,omitempty"`
+}
+
+// Machines is a page of machines.
+type Machines struct {
+	Machines []Machine `json:"machines"`
+	Next     string    `json:"next,omitempty"`
+}
+
+func (a *API) machines(c *call) {
+	after, limit, ok := c.page()
+	if !ok {
+		return
+	}
+	args := c.ctx.QueryArgs()
+	zone, typ, kind, shut := string(args.Peek("zone")), string(args.Peek("type")), string(args.Peek("kind")), string(args.Peek("shut"))
+	a.onLoop(c, func(done func(outcome)) {
+		out := Machines{Machines: []Machine{}}
+		for _, m := range a.n.Machines() {
+			if m.Name <= after || (zone != "" && m.Zone != zone) || (typ != "" && m.Type != typ) || (kind != "" && m.Kind != kind) ||
+				(shut != "" && !slices.Contains(m.Shut, shut)) {
+				continue
+			}
+			if len(out.Machines) == limit {
+				out.Next = out.Machines[limit-1].Name
+				break
+			}
+			out.Machines = append(out.Machines, m)
+		}
+		done(outcome{status: 200, body: out})
+	})
+}
+
+// Cordon is a cordon as it is put and shown.
+type Cordon struct {
+	Name    string        `json:"name,omitempty"`
+	Machine string        `json:"machine,omitempty"`
+	Type    string        `json:"type,omitempty"`
+	Zone    string        `json:"zone,omitempty"`
+	Kind    string        `json:"kind,omitempty"`
+	Reason  string        `json:"reason"`
+	By      string        `json:"by,omitempty"`
+	At      *explain.Time `json:"at,omitempty"`
+	Until   *explain.Time `json:"until,omitempty"`
+	// Unseen counts starts that were recorded before the cordon and may still begin;
+	// it is told where one cordon is asked for. Nothing recorded later begins.
+	Unseen *int `json:"unseenStarts,omitempty"`
+}
+
+func shown(c cordon.Cordon) Cordon {
+	at := explain.Time(c.At)
+	out := Cordon{Name: c.Name, Machine: c.Machine, Type: c.Type, Zone: c.Zone, Kind: c.Kind, Reason: c.Reason, By: c.By, At: &at}
+	if c.Until != 0 {
+		until := explain.Time(c.Until)
+		out.Until = &until
+	}
+	return out
+}
+
+// Cordons are all cordons in force.
+type Cordons struct {
+	Cordons []Cordon `json:"cordons"`
+	// Damaged tells that the stored record cannot be read; what was read last is shown.
+	Damaged bool `json:"damaged,omitempty"`
+}
+
+func (a *API) cordons(c *call) {
+	a.onLoop(c, func(done func(outcome)) {
+		out := Cordons{Cordons: []Cordon{}, Damaged: a.n.Cordons.Damaged()}
+		for _, x := range a.n.Cordons.All() {
+			out.Cordons = append(out.Cordons, shown(x))
+		}
+		done(outcome{status: 200, body: out})
+	})
+}
+
+func (a *API) cordon(c *call) {
+	a.onLoop(c, func(done func(outcome)) { a.showCordon(c.arg, done) })
+}
+
+func (a *API) showCordon(name string, done func(outcome)) {
+	for _, x := range a.n.Cordons.All() {
+		if x.Name != name {
+			continue
+		}
+		out := shown(x)
+		a.n.Unseen(name, func(starts int, ok bool) {
+			if ok {
+				out.Unseen = &starts
+			}
+			done(outcome{status: 200, body: out})
+		})
+		return
+	}
+	done(noCordon.with("%.80q", name).outcome())
+}
+
+func (a *API) putCordon(c *call) {
+	var body Cordon
+	if bad := a.schema.read("cordon", c.ctx.PostBody(), &body); bad != nil {
+		fail(c.ctx, *bad)
+		return
+	}
+	if len(c.arg) > cordon.MaxName || strings.ContainsAny(c.arg, " %\"") {
+		fail(c.ctx, badQuery.with("a cordon's name has at most %d bytes and no spaces", cordon.MaxName))
+		return
+	}
+	a.onLoop(c, func(done func(outcome)) {
+		x := cordon.Cordon{Name: c.arg, Machine: body.Machine, Type: body.Type, Zone: body.Zone, Kind: body.Kind, Reason: body.Reason, By: c.by}
+		if body.Until != nil {
+			if x.Until = int64(*body.Until); x.Until <= a.r.Wall() {
+				done(pastUntil.at("/until").outcome())
+				return
+			}
+		}
+		a.n.Cordons.Put(x, func(o cordon.Outcome) { a.cordoned(c.arg, o, done) })
+	})
+}
+
+func (a *API) dropCordon(c *call) {
+	a.onLoop(c, func(done func(outcome)) {
+		a.n.Cordons.Remove(c.arg, func(o cordon.Outcome) {
+			if o == cordon.Stored {
+				done(outcome{status: 200, body: map[string]string{"name": c.arg, "state": "lifted"}})
+				return
+			}
+			a.cordoned(c.arg, o, done)
+		})
+	})
+}
+
+func (a *API) cordoned(name string, o cordon.Outcome, done func(outcome)) {
+	switch o {
+	case cordon.Stored:
+		a.showCordon(name, done)
+	case cordon.TooMany:
+		done(fullCordon.with("at most %d", cordon.Most).outcome())
+	case cordon.Absent:
+		done(noCordon.with("%.80q", name).outcome())
+	default:
+		done(noAnswer.outcome())
+	}
+}
+
+// Waiting sums up why tasks of one team and class wait.
+type Waiting struct {
+	Team     string `json:"team"`
+	Class    string `json:"class"`
+	Priority string `json:"priority"`
+	Jobs     int    `json:"jobs"`    // unfinished
+	Waiting  int    `json:"waiting"` // jobs with any cause
+	Causes   []Held `json:"causes"`
+}
+
+// Held sums up one cause.
+type Held struct {
+	Kind    string       `json:"kind"`
+	Jobs    int          `json:"jobs"`
+	Tasks   int          `json:"tasks"`
+	Longest explain.Span `json:"longestS"`
+}
+
+// Queue is why everything waits, as the owners last told.
+type Queue struct {
+	AsOf     explain.Time `json:"asOf"`
+	Queue    []Waiting    `json:"queue"`
+	Complete bool         `json:"complete"`
+	Missing  []string     `json:"missing,omitempty"` // what is old or not known
+}
+
+func (a *API) queue(c *call) {
+	a.onLoop(c, func(done func(outcome)) {
+		type key struct {
+			team, class string
+			priority    job.Priority
+		}
+		type sum struct {
+			Waiting
+			by map[string]*Held
+		}
+		all := map[key]*sum{}
+		wall := a.r.Wall()
+		a.n.Book.Each(func(j *job.Job) {
+			if j.Final() || j.Spec == nil {
+				return
+			}
+			k := key{j.Spec.Team, j.Spec.Class, j.Spec.Priority}
+			s := all[k]
+			if s == nil {
+				s = &sum{Waiting: Waiting{Team: k.team, Class: k.class, Priority: explain.PriorityName(k.priority), Causes: []Held{}}, by: map[string]*Held{}}
+				all[k] = s
+			}
+			s.Jobs++
+			causes, _ := a.n.Desk.Lines.Causes(j.ID)
+			if len(causes) > 0 {
+				s.Waiting.Waiting++
+			}
+			for _, x := range causes {
+				h := s.by[x.Kind.String()]
+				if h == nil {
+					h = &Held{Kind: x.Kind.String()}
+					s.by[h.Kind] = h
+				}
+				h.Jobs++
+				h.Tasks += x.Tasks
+				if since := a.n.Desk.Lines.Since(j.ID, x.Kind); since != 0 {
+					h.Longest = max(h.Longest, explain.Span(wall-since))
+				}
+			}
+		})
+		out := Queue{AsOf: explain.Time(wall), Queue: []Waiting{}, Missing: a.n.Unheard()}
+		out.Complete = len(out.Missing) == 0
+		for _, s := range all {
+			for _, h := range s.by {
+				s.Causes = append(s.Causes, *h)
+			}
+			slices.SortFunc(s.Causes, func(x, y Held) int { return cmp.Or(cmp.Compare(y.Tasks, x.Tasks), cmp.Compare(x.Kind, y.Kind)) })
+			out.Queue = append(out.Queue, s.Waiting)
+		}
+		slices.SortFunc(out.Queue, func(x, y Waiting) int {
+			return cmp.Or(cmp.Compare(x.Team, y.Team), cmp.Compare(x.Class, y.Class), cmp.Compare(x.Priority, y.Priority))
+		})
+		done(outcome{status: 200, body: out})
+	})
+}
--- /dev/null
+++ b/internal/api/schema.go
@@ -0,0 +1,79 @@
+package api
+
+import (
+	"bytes"
+	_ "embed"
+	"encoding/json"
+	"strings"
+
+	"github.com/santhosh-tekuri/jsonschema/v6"
+	"github.com/santhosh-tekuri/jsonschema/v6/kind"
+)
+
+//go:embed schema.json
+var schemaFile []byte
+
+// schema checks bodies.
+type schema struct {
+	by map[string]*jsonschema.Schema
+}
+
+func loadSchema() *schema {
+	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(schemaFile))
+	if err != nil {
+		panic(err) // it is part of the program
+	}
+	c := jsonschema.NewCompiler()
+	c.AssertFormat()
+	if err := c.AddResource("urn:cleatpick:v1", doc); err != nil {
+		panic(err)
+	}
+	s := &schema{by: map[string]*jsonschema.Schema{}}
+	for _, name := range []string{"job", "hold", "cordon"} {
+		s.by[name] = c.MustCompile("urn:cleatpick:v1#/$defs/" + name)
+	}
+	return s
+}
+
+// read checks a body against the named schema and decodes it.
+func (s *schema) read(name string, body []byte, into any) *problem {
+	bad := func(p problem) *problem { return &p }
+	v, err := jsonschema.UnmarshalJSON(bytes.NewReader(body))
+	if err != nil {
+		return bad(badBody.with("it is no JSON: %v", err))
+	}
+	if err := s.by[name].Validate(v); err != nil {
+		field, why := deepest(err)
+		return bad(badBody.with("%s", why).at(field))
+	}
+	if err := json.Unmarshal(body, into); err != nil {
+		return bad(badBody.with("%v", err))
+	}
+	return nil
+}
+
+// deepest finds the innermost fault, which names the field best.
+func deepest(err error) (field, why string) {
+	e, ok := err.(*jsonschema.ValidationError)
+	if !ok {
+		return "", err.Error()
+	}
+	for len(e.Causes) > 0 {
+		e = e.Causes[0]
+	}
+	at := e.InstanceLocation
+	switch k := e.ErrorKind.(type) {
+	case *kind.AdditionalProperties:
+		at = append(at[:len(at):len(at)], k.Properties[0])
+		why = "there is no such field"
+	case *kind.Required:
+		at = append(at[:len(at):len(at)], k.Missing[0])
+		why = "the field is missing"
+	default:
+		why = e.Error()
+		if i := strings.LastIndex(why, ": "); i >= 0 {
+			why = why[i+2:]
+		}
+	}
+	return "/" + strings.Join(at, "/"), why
+}
--- /dev/null
+++ b/internal/client/client.go
@@ -0,0 +1,144 @@
+// Package client calls `/v1/` of one of several controllers.
+package client
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Client tries its endpoints in turn. Any controller can answer anything.
+type Client struct {
+	endpoints []string
+	key       string
+	http      *fasthttp.Client
+	// Patience is how long a call may take over all its tries.
+	Patience time.Duration
+	sleep    func(time.Duration)
+}
+
+// Problem is an error that a controller answered with (RFC 9457).
+type Problem struct {
+	Type   string `json:"type"`
+	Title  string `json:"title"`
+	Status int    `json:"status"`
+	Detail string `json:"detail"`
+	Field  string `json:"field"`
+}
+
+func (p *Problem) Error() string {
+	s := p.Title
+	if p.Detail != "" {
+		s += ": " + p.Detail
+	}
+	if p.Field != "" {
+		s += " (" + p.Field + ")"
+	}
+	return s
+}
+
+// New makes a client. Endpoints are HOST:PORT, separated by commas; the key may be empty.
+func New(endpoints, key string) (*Client, error) {
+	c := &Client{key: key, Patience: 15 * time.Second, sleep: time.Sleep, http: &fasthttp.Client{
+		MaxIdemponentCallAttempts: 1,
+		MaxResponseBodySize:       16 << 20,
+		NoDefaultUserAgentHeader:  true,
+		Dial:                      func(a string) (net.Conn, error) { return fasthttp.DialTimeout(a, time.Second) },
+	}}
+	for _, e := range strings.Split(endpoints, ",") {
+		e = strings.TrimSuffix(strings.TrimPrefix(strings.TrimSpace(e), "http://"), "/")
+		if e == "" {
+			continue
+		}
+		if _, _, err := net.SplitHostPort(e); err != nil {
+			return nil, fmt.Errorf("endpoint %q: %w", e, err)
+		}
+		c.endpoints = append(c.endpoints, e)
+	}
+	if len(c.endpoints) == 0 {
+		return nil, errors.New("no endpoint: give --endpoint HOST:PORT[,HOST:PORT...] or set CLEATPICK_ENDPOINT")
+	}
+	return c, nil
+}
+
+// ReadKey reads a key from a file, without the white space around it.
+func ReadKey(file string) (string, error) {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return "", fmt.Errorf("key file: %w", err)
+	}
+	return strings.TrimSpace(string(b)), nil
+}
+
+// Call makes one call and decodes its answer into out, which may be nil. An endpoint
+// that cannot be reached, or says that it cannot answer now, is left for the next; after
+// a round of them the longest Retry-After is waited for. All calls may be repeated:
+// each names what it wants to be the case.
+func (c *Client) Call(method, path string, body, out any) error {
+	var raw []byte
+	if body != nil {
+		var err error
+		if raw, err = json.Marshal(body); err != nil {
+			return err
+		}
+	}
+	end := time.Now().Add(c.Patience)
+	var last error
+	for {
+		wait := 500 * time.Millisecond
+		for _, e := range c.endpoints {
+			again, after, err := c.try(e, method, path, raw, out)
+			if !again {
+				return err
+			}
+			last = err
+			wait = max(wait, after)
+		}
+		if time.Now().Add(wait).After(end) {
+			return last
+		}
+		c.sleep(wait)
+	}
+}
+
+// try makes one exchange; again tells whether another one may fare better.
+func (c *Client) try(endpoint, method, path string, body []byte, out any) (again bool, after time.Duration, err error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + endpoint + path)
+	req.Header.SetMethod(method)
+	if c.key != "" {
+		req.Header.Set("Authorization", "Bearer "+c.key)
+	}
+	if body != nil {
+		req.Header.SetContentType("application/json")
+		req.SetBody(body)
+	}
+	if err := c.http.DoTimeout(req, resp, 6*time.Second); err != nil {
+		return true, 0, fmt.Errorf("%s: %w", endpoint, err)
+	}
+	code := resp.StatusCode()
+	if code >= 200 && code < 300 {
+		if out == nil {
+			return false, 0, nil
+		}
+		return false, 0, json.Unmarshal(resp.Body(), out)
+	}
+	p := &Problem{Status: code, Title: "HTTP " + strconv.Itoa(code)}
+	if json.Unmarshal(resp.Body(), p) != nil {
+		p.Detail = "the endpoint does not serve /v1/"
+	}
+	if code == 503 || code == 429 {
+		n, _ := strconv.Atoi(string(resp.Header.Peek("Retry-After")))
+		return true, min(time.Duration(max(n, 1))*time.Second, 30*time.Second), p
+	}
+	return false, 0, p
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -96,6 +96,21 @@
 	// BootStuckTimes is after how many nominal boot times a machine that
 	// did not come up is replaced.
 	BootStuckTimes float64 `toml:"boot_stuck_times"`
+	// API is the interface for people and programs beside the protocol.
+	API API `toml:"api"`
+}
+
+// Key opens the interface under /v1/. Only its hash is known here.
+type Key struct {
+	Name   string `toml:"name"`
+	Role   string `toml:"role"`   // read, submit or operate
+	SHA256 string `toml:"sha256"` // of the key, in hexadecimal
+}
+
+// API is the section of the interface under /v1/; all of it is off unless enabled.
+type API struct {
+	Enabled bool  `toml:"enabled"`
+	Keys    []Key `toml:"keys"`
 }
 
 // Config is everything a node needs to know at its start.
@@ -239,6 +254,7 @@
 	if c.Operator.NodeLeaseS < 0.5 || c.Operator.NodeLeaseS > 600 {
 		bad("operator node_lease_s", "must lie between 0.5 and 600")
 	}
+	c.Operator.API.check(bad)
 	return errors.Join(faults...)
 }
 
--- a/internal/cordon/cordon.go
+++ b/internal/cordon/cordon.go
@@ -148,6 +148,9 @@
 // Version rises whenever the cordons in force may have changed.
 func (b *Book) Version() uint64 { return b.version }
 
+// Any tells whether any cordon may be in force.
+func (b *Book) Any() bool { return len(b.all) > 0 }
+
 // Cond is the condition that no cordon has changed since.
 func (b *Book) Cond() wire.Cond { return wire.Cond{Key: Key, Mark: b.mark} }
 
--- /dev/null
+++ b/internal/explain/timeline.go
@@ -0,0 +1,192 @@
+package explain
+
+import (
+	"cleatpick/internal/gate"
+	"cleatpick/internal/loop"
+)
+
+// Bounds on what is kept of jobs' waits.
+const (
+	mostSpans = 24  // ended spans for each job
+	mostOver  = 256 // jobs that are over and still remembered
+)
+
+// flap is how soon after its end a cause counts as not having ended at all.
+const flap = 1500 * loop.Millisecond
+
+type stretch struct {
+	kind     gate.Kind
+	from, to loop.Micros // time of day; to is 0 while it holds
+	tasks    int         // the most
+	now      int
+}
+
+// line is a job's timeline as this node keeps it.
+type line struct {
+	spans   []stretch // those that hold come last
+	dropped int
+	from    loop.Micros
+	causes  []gate.Cause
+	told    loop.Micros // when its owner last told of it
+	over    bool
+}
+
+// Timelines follow the causes of all unfinished jobs, by what their owners tell. Every
+// node keeps them, so that they outlive an owner; nothing of them is stored beyond the
+// nodes.
+type Timelines struct {
+	lines map[string]*line
+	over  []string
+	// Ended is told of every span that ends, by the owner's node only.
+	Ended func(job string, k gate.Kind, took loop.Micros)
+}
+
+// NewTimelines makes an empty memory.
+func NewTimelines() *Timelines { return &Timelines{lines: map[string]*line{}} }
+
+// Set takes in the causes that hold now; own tells whether this node owns the job. It
+// tells whether they differ in kind from those before.
+func (t *Timelines) Set(id string, causes []gate.Cause, wall loop.Micros, own bool) (changed bool) {
+	l := t.lines[id]
+	if l == nil {
+		if len(causes) == 0 {
+			return false
+		}
+		l = &line{from: wall}
+		t.lines[id] = l
+	}
+	l.told = wall
+	if l.over {
+		return false
+	}
+	open := l.open()
+	for _, c := range causes {
+		if c.Tasks <= 0 {
+			continue
+		}
+		if s := l.find(c.Kind, open); s != nil {
+			s.now, s.tasks = c.Tasks, max(s.tasks, c.Tasks)
+			continue
+		}
+		changed = true
+		l.begin(c, wall, &open)
+	}
+	for i := len(l.spans) - 1; i >= open; i-- {
+		if s := l.spans[i]; !holds(causes, s.kind) {
+			changed = true
+			if own && t.Ended != nil {
+				t.Ended(id, s.kind, wall-s.from)
+			}
+			l.end(i, open, wall)
+			open++
+		}
+	}
+	if drop := open - mostSpans; drop > 0 {
+		l.spans = append(l.spans[:0], l.spans[drop:]...)
+		l.dropped += drop
+	}
+	l.causes = append(l.causes[:0], causes...)
+	return changed
+}
+
+func holds(causes []gate.Cause, k gate.Kind) bool {
+	for _, c := range causes {
+		if c.Kind == k && c.Tasks > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// open is the index of the first span that still holds.
+func (l *line) open() int {
+	i := len(l.spans)
+	for i > 0 && l.spans[i-1].to == 0 {
+		i--
+	}
+	return i
+}
+
+func (l *line) find(k gate.Kind, open int) *stretch {
+	for i := open; i < len(l.spans); i++ {
+		if l.spans[i].kind == k {
+			return &l.spans[i]
+		}
+	}
+	return nil
+}
+
+// begin opens a span, or goes on with one that ended a moment ago.
+func (l *line) begin(c gate.Cause, wall loop.Micros, open *int) {
+	s := stretch{kind: c.Kind, from: wall, tasks: c.Tasks, now: c.Tasks}
+	for i := *open - 1; i >= 0 && wall-l.spans[i].to < flap; i-- {
+		if l.spans[i].kind == c.Kind {
+			s.from, s.tasks = l.spans[i].from, max(l.spans[i].tasks, c.Tasks)
+			l.spans = append(l.spans[:i], l.spans[i+1:]...)
+			*open--
+			break
+		}
+	}
+	l.spans = append(l.spans, s)
+}
+
+// end closes span i and moves it before those that still hold.
+func (l *line) end(i, open int, wall loop.Micros) {
+	s := l.spans[i]
+	s.to, s.now = wall, 0
+	copy(l.spans[open+1:i+1], l.spans[open:i])
+	l.spans[open] = s
+}
+
+// Over closes a job's timeline; the newest of those that are over stay for a while.
+func (t *Timelines) Over(id string, wall loop.Micros, own bool) {
+	l := t.lines[id]
+	if l == nil || l.over {
+		return
+	}
+	t.Set(id, nil, wall, own)
+	l.over, l.causes = true, nil
+	t.over = append(t.over, id)
+	if len(t.over) > mostOver {
+		delete(t.lines, t.over[0])
+		t.over = append(t.over[:0], t.over[1:]...)
+	}
+}
+
+// Since is since when a cause holds; 0: it does not, as far as is known here.
+func (t *Timelines) Since(id string, k gate.Kind) loop.Micros {
+	if l := t.lines[id]; l != nil {
+		if s := l.find(k, l.open()); s != nil {
+			return s.from
+		}
+	}
+	return 0
+}
+
+// Causes are the causes last told of a job, and when.
+func (t *Timelines) Causes(id string) ([]gate.Cause, loop.Micros) {
+	if l := t.lines[id]; l != nil {
+		return l.causes, l.told
+	}
+	return nil, 0
+}
+
+// Of is a job's timeline in its printed form.
+func (t *Timelines) Of(id string) Timeline {
+	out := Timeline{Spans: []Stretch{}}
+	l := t.lines[id]
+	if l == nil {
+		return out
+	}
+	from := Time(l.from)
+	out.From, out.Dropped = &from, l.dropped
+	for _, s := range l.spans {
+		x := Stretch{Kind: s.kind.String(), From: Time(s.from), Tasks: s.tasks}
+		if s.to != 0 {
+			to := Time(s.to)
+			x.To = &to
+		}
+		out.Spans = append(out.Spans, x)
+	}
+	return out
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -29,6 +29,8 @@
 	Counts func(*job.Job) job.Counts
 	Book   *job.Book
 	Agent  *agent.Agent
+	// API serves what stands beside the protocol: /v1/ and /metrics; nil: nothing does.
+	API fasthttp.RequestHandler
 }
 
 // Front serves HTTP.
@@ -62,6 +64,11 @@
 		ErrorHandler: func(ctx *fasthttp.RequestCtx, err error) {
 			// Oversized or broken: the rest of the stream cannot be trusted.
 			ctx.SetConnectionClose()
+			if f.n.API != nil && isAPI(string(ctx.Path())) {
+				ctx.SetUserValue("broken", err)
+				f.n.API(ctx)
+				return
+			}
 			write(ctx, 400, wire.Error{Error: "malformed request"})
 		},
 	}
@@ -113,30 +120,24 @@
 		} else {
 			write(ctx, 405, wire.Error{Error: "method not allowed"})
 		}
+	case f.n.API != nil && isAPI(path):
+		f.n.API(ctx)
 	default:
 		write(ctx, 404, wire.Error{Error: "no such path"})
 	}
 }
 
+func isAPI(path string) bool { return strings.HasPrefix(path, "/v1/") || path == "/metrics" }
+
+// patience is how long a request waits for the loop.
+const patience = 3 * time.Second
+
 // ask runs f on the loop and waits for its answer; nil when none came in time.
 func ask[T any](f *Front, run func(done func(T))) *T {
-	ch := make(chan T, 1)
-	f.r.Post(func() {
-		run(func(v T) {
-			select {
-			case ch <- v:
-			default:
-			}
-		})
-	})
-	t := time.NewTimer(3 * time.Second)
-	defer t.Stop()
-	select {
-	case v := <-ch:
+	if v, ok := loop.Ask(f.r, patience, run); ok {
 		return &v
-	case <-t.C:
-		return nil
 	}
+	return nil
 }
 
 func (f *Front) beat(ctx *fasthttp.RequestCtx) {
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -96,7 +96,7 @@
 // Job are the facts by which a job's own gates judge, all its machines left aside.
 type Job struct {
 	Spec        *job.Spec
-	Hold        job.Hold
+	Hold        *job.Hold
 	After       []Dep
 	OnWithdrawn job.Policy
 	Damaged     bool
--- a/internal/gate/place.go
+++ b/internal/gate/place.go
@@ -4,7 +4,6 @@
 	"cleatpick/internal/agent"
 	"cleatpick/internal/job"
 	"cleatpick/internal/loop"
-	"cleatpick/internal/peer"
 )
 
 // Lack is what a machine lacks for a task, one bit for each thing.
@@ -66,7 +65,15 @@
 	Shut     loop.Micros // it rests until then
 	ShutWhy  string
 	Cordoned bool
-	Claims   []peer.Claim // room kept for jobs that tasks were stopped for
+	Claims   []Claim
+}
+
+// Claim is room that is kept on a machine for a job that tasks were stopped for.
+type Claim struct {
+	Job      string
+	Priority int
+	Room     agent.Room
+	Until    loop.Micros // time of day
 }
 
 // Closed is what keeps every task off the machine. After is the time since which a
@@ -153,7 +160,7 @@
 	r := p.Room
 	for i := range p.Claims {
 		if c := &p.Claims[i]; c.Job != n.ID && c.Priority >= int(n.Spec.Priority) {
-			r = r.Less(agent.Room{CPUs: c.CPUs, GPUs: c.GPUs, MemoryGB: c.MemoryGB})
+			r = r.Less(c.Room)
 		}
 	}
 	return r
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -104,3 +104,25 @@
 	}
 	r.After(d, tick)
 }
+
+// Ask runs f on the loop and waits for its answer, off the loop; ok is false when none
+// came in time.
+func Ask[T any](r Runner, patience time.Duration, f func(done func(T))) (answer T, ok bool) {
+	ch := make(chan T, 1)
+	r.Post(func() {
+		f(func(v T) {
+			select {
+			case ch <- v:
+			default:
+			}
+		})
+	})
+	t := time.NewTimer(patience)
+	defer t.Stop()
+	select {
+	case v := <-ch:
+		return v, true
+	case <-t.C:
+		return answer, false
+	}
+}
--- /dev/null
+++ b/internal/metric/metric.go
@@ -0,0 +1,198 @@
+// Package metric counts what a controller does, in the published text format. A nil
+// meter counts nothing and costs nothing. All label sets are bounded by the code.
+package metric
+
+import (
+	"bytes"
+	"fmt"
+
+	"cleatpick/internal/loop"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/common/expfmt"
+)
+
+// Meter holds one controller's figures.
+type Meter struct {
+	reg      *prometheus.Registry
+	passes   prometheus.Histogram
+	placed   prometheus.Counter
+	starts   prometheus.Counter
+	misses   prometheus.Counter
+	refusals prometheus.Counter
+	waits    *prometheus.HistogramVec
+	state    *prometheus.CounterVec
+	stateLag prometheus.Histogram
+	cloud    *prometheus.CounterVec
+	lag      prometheus.Histogram
+	requests *prometheus.CounterVec
+	whys     prometheus.Histogram
+}
+
+// Seconds from a millisecond to an hour, and from a tenth of a millisecond to seconds.
+var (
+	longBuckets  = []float64{.01, .05, .1, .25, .5, 1, 2, 5, 10, 20, 40, 60, 120, 300, 600, 1800, 3600}
+	shortBuckets = []float64{.0001, .00025, .0005, .001, .0025, .005, .01, .025, .05, .1, .25, .5, 1, 2.5}
+)
+
+// New makes a meter.
+func New() *Meter {
+	m := &Meter{reg: prometheus.NewRegistry()}
+	counter := func(name, help string) prometheus.Counter {
+		c := prometheus.NewCounter(prometheus.CounterOpts{Namespace: "cleatpick", Name: name, Help: help})
+		m.reg.MustRegister(c)
+		return c
+	}
+	counters := func(name, help string, labels ...string) *prometheus.CounterVec {
+		c := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cleatpick", Name: name, Help: help}, labels)
+		m.reg.MustRegister(c)
+		return c
+	}
+	histogram := func(name, help string, buckets []float64) prometheus.Histogram {
+		h := prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: "cleatpick", Name: name, Help: help, Buckets: buckets})
+		m.reg.MustRegister(h)
+		return h
+	}
+	m.passes = histogram("pass_seconds", "How long a placement pass took.", shortBuckets)
+	m.placed = counter("placed_total", "Tasks for which a pass chose a machine.")
+	m.starts = counter("starts_total", "Recorded starts handed to a machine's host.")
+	m.misses = counter("misses_total", "Times that a job's tasks began to find no room.")
+	m.refusals = counter("refusals_total", "Choices that a machine's host refused.")
+	m.waits = prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: "cleatpick", Name: "wait_seconds",
+		Help: "How long a cause kept tasks of a job from running, by cause.", Buckets: longBuckets}, []string{"cause"})
+	m.reg.MustRegister(m.waits)
+	m.state = counters("state_requests_total", "Requests to the state service by outcome.", "outcome")
+	m.stateLag = histogram("state_request_seconds", "How long answered requests to the state service took.", shortBuckets)
+	m.cloud = counters("cloud_requests_total", "Requests to the cloud by outcome.", "outcome")
+	m.lag = histogram("loop_lag_seconds", "How much later than asked a timer of the loop ran.", shortBuckets)
+	m.requests = counters("api_requests_total", "Requests under /v1/ by status class.", "status")
+	m.whys = histogram("why_seconds", "How long gathering one explanation held the loop.", shortBuckets)
+	m.reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return m
+}
+
+func seconds(d loop.Micros) float64 { return float64(d) / 1e6 }
+
+// Gauge adds a figure that is read when it is asked for. It is read off the loop, so f
+// must be safe there.
+func (m *Meter) Gauge(name, help string, f func() float64) {
+	if m != nil {
+		m.reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "cleatpick", Name: name, Help: help}, f))
+	}
+}
+
+// Watch follows how late the loop's timers run.
+func (m *Meter) Watch(r loop.Runner) {
+	if m == nil {
+		return
+	}
+	const every = 250 * loop.Millisecond
+	due := r.Now() + every
+	loop.Every(r, every, func() {
+		now := r.Now()
+		m.lag.Observe(seconds(max(now-due, 0)))
+		due = now + every
+	})
+}
+
+// Pass counts a placement pass.
+func (m *Meter) Pass(took loop.Micros, placed int) {
+	if m != nil {
+		m.passes.Observe(seconds(took))
+		m.placed.Add(float64(placed))
+	}
+}
+
+// Start counts a start that was handed on.
+func (m *Meter) Start() {
+	if m != nil {
+		m.starts.Inc()
+	}
+}
+
+// Miss counts a job whose tasks begin to find no room.
+func (m *Meter) Miss() {
+	if m != nil {
+		m.misses.Inc()
+	}
+}
+
+// Refusal counts a choice that a host refused.
+func (m *Meter) Refusal() {
+	if m != nil {
+		m.refusals.Inc()
+	}
+}
+
+// Wait counts a cause that has ended; the causes are a fixed list.
+func (m *Meter) Wait(cause string, took loop.Micros) {
+	if m != nil {
+		m.waits.WithLabelValues(cause).Observe(seconds(took))
+	}
+}
+
+// Outcome sorts an exchange into one of a few words.
+func Outcome(status int, err error) string {
+	switch {
+	case err != nil:
+		return "unanswered"
+	case status == 429:
+		return "limited"
+	case status == 503:
+		return "unavailable"
+	case status == 409:
+		return "conflict"
+	case status >= 200 && status < 300, status == 404:
+		return "ok"
+	}
+	return "refused"
+}
+
+// State counts a request to the state service.
+func (m *Meter) State(outcome string, took loop.Micros) {
+	if m != nil {
+		m.state.WithLabelValues(outcome).Inc()
+		m.stateLag.Observe(seconds(took))
+	}
+}
+
+// Cloud counts a request to the cloud.
+func (m *Meter) Cloud(outcome string) {
+	if m != nil {
+		m.cloud.WithLabelValues(outcome).Inc()
+	}
+}
+
+// Request counts an answer under /v1/.
+func (m *Meter) Request(status int) {
+	if m != nil {
+		m.requests.WithLabelValues(fmt.Sprintf("%dxx", status/100)).Inc()
+	}
+}
+
+// Why counts an explanation by the time that it held the loop.
+func (m *Meter) Why(took loop.Micros) {
+	if m != nil {
+		m.whys.Observe(seconds(took))
+	}
+}
+
+// ContentType is the media type of Text.
+const ContentType = "text/plain; version=0.0.4; charset=utf-8"
+
+// Text is all figures in the published text format.
+func (m *Meter) Text() ([]byte, error) {
+	all, err := m.reg.Gather()
+	if err != nil {
+		return nil, err
+	}
+	var b bytes.Buffer
+	enc := expfmt.NewEncoder(&b, expfmt.NewFormat(expfmt.TypeTextPlain))
+	for _, f := range all {
+		if err := enc.Encode(f); err != nil {
+			return nil, err
+		}
+	}
+	return b.Bytes(), nil
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 	"cleatpick/internal/job"
 	"cleatpick/internal/loop"
 	"cleatpick/internal/member"
+	"cleatpick/internal/metric"
 	"cleatpick/internal/peer"
 	"cleatpick/internal/placer"
 	"cleatpick/internal/rental"
@@ -42,6 +43,8 @@
 	front    *front.Front
 	out      Outside
 	progress map[string]job.Counts
+	meter    *metric.Meter // nil while /v1/ is off
+	more     *explaining   // nil while /v1/ is off
 	began    loop.Micros
 }
 
@@ -85,8 +88,12 @@
 	n := &Node{cfg: cfg, log: log, loop: out.Loop, out: out, progress: map[string]job.Counts{}}
 	l := n.loop
 	n.began = l.Now()
+	if cfg.Operator.API.Enabled {
+		n.meter = metric.New()
+	}
 	nodes := max(cfg.Cluster.Nodes, 1)
 	n.client = store.NewClient(l, out.State, log, cfg.Cluster.State.RPS, cfg.Cluster.State.WriteRPS, nodes)
+	n.client.Meter = n.meter
 	n.mirror = store.NewMirror(n.client, out.Watch, member.Prefix)
 	var teams []string
 	for _, t := range cfg.Cluster.Teams {
@@ -140,7 +147,10 @@
 			}
 			n.at(o.Node, func() { n.rental.Tally(cfg.Label, t) }, func(e *peer.Envelope) { e.Tally = &t })
 		},
+		Tells: cfg.Operator.API.Enabled,
+		Meter: n.meter,
 		Tell: func(p []peer.Progress) {
+			n.told(p, true)
 			n.net.All(func(e *peer.Envelope) { e.Progress = append(e.Progress, p...) })
 		},
 		Usage: func(u []peer.Usage) {
@@ -166,6 +176,7 @@
 		Entitled: n.member.Entitled,
 		Isolated: func() bool { return n.isolated() && !n.member.AllAlone() },
 		Faulty:   n.placer.Faulty,
+		Meter:    n.meter,
 		Cordoned: func(typ, zone string, spot bool) bool {
 			return n.cordons.Barred(cordon.Place{Type: typ, Zone: zone, Spot: spot})
 		},
@@ -175,6 +186,10 @@
 	n.book.OnJob = func(j *job.Job) {
 		if j.Final() {
 			delete(n.progress, j.ID)
+			if n.more != nil {
+				own := j.Spec != nil && n.placer.Owns(j.Spec.Team)
+				n.more.desk.Lines.Over(j.ID, l.Wall(), own)
+			}
 		}
 		n.placer.Job(j)
 	}
@@ -193,22 +208,29 @@
 			n.member.Evict(label)
 		}
 	}
+	if cfg.Operator.API.Enabled {
+		n.explain()
+	}
 	n.front = front.New(l, log, cfg, front.Node{
+		API:     n.v1(),
 		Healthy: n.healthy,
 		Ready:   n.ready,
 		Types:   n.rental.Types,
 		Book:    n.book,
 		Agent:   n.agent,
-		Counts: func(j *job.Job) job.Counts {
-			if c, ok := n.placer.Counts(j); ok {
-				return c
-			}
-			return n.progress[j.ID]
-		},
+		Counts:  n.counts,
 	})
 	return n
 }
 
+// v1 is the handler of /v1/, nil while that is off.
+func (n *Node) v1() fasthttp.RequestHandler {
+	if n.more == nil {
+		return nil
+	}
+	return n.more.api.Handle
+}
+
 // at does something here, if the named node is this one, or tells that node of it.
 func (n *Node) at(label string, here func(), there func(*peer.Envelope)) {
 	if label == n.cfg.Label {
@@ -251,6 +273,10 @@
 			n.progress[p.Job] = job.Counts{Done: p.Done, Running: p.Running}
 		}
 	}
+	n.told(e.Progress, false)
+	if n.more != nil {
+		n.more.asks.Take(e)
+	}
 	n.placer.Learn(e.Usage)
 	n.placer.LearnClaims(e.Claims)
 }
@@ -307,7 +333,7 @@
 	switch {
 	case j.Terms.Hold.State != job.HoldNone && j.Terms.Hold.Shut(n.loop.Wall()):
 		return "held"
-	case n.cordons.Barred(cordon.Place{Machine: v.Name, Type: v.Type, Zone: v.Zone, Spot: v.Spot}):
+	case n.cordons.Barred(placeOf(v)):
 		return "cordoned"
 	}
 	return ""
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -16,6 +16,7 @@
 
 	"cleatpick/internal/agent"
 	"cleatpick/internal/config"
+	"cleatpick/internal/gate"
 	"cleatpick/internal/loop"
 	"cleatpick/internal/wire"
 
@@ -56,6 +57,24 @@
 	Job     string `cbor:"1,keyasint"`
 	Done    int64  `cbor:"2,keyasint"`
 	Running int64  `cbor:"3,keyasint"`
+	// Causes is why its other tasks do not run; told only where that is asked for.
+	Causes []gate.Cause `cbor:"4,keyasint,omitempty"`
+	// Waits tells that Causes is told, since none is an answer too.
+	Waits bool `cbor:"5,keyasint,omitempty"`
+}
+
+// Question is what a node wants to know of another.
+type Question struct {
+	ID    uint64   `cbor:"1,keyasint"`
+	Topic string   `cbor:"2,keyasint"`
+	Body  wire.Raw `cbor:"3,keyasint"`
+}
+
+// Reply answers a question; it has no body when the node could not tell.
+type Reply struct {
+	ID   uint64   `cbor:"1,keyasint"`
+	OK   bool     `cbor:"2,keyasint"`
+	Body wire.Raw `cbor:"3,keyasint,omitempty"`
 }
 
 // Usage is what a team uses, for the others' decisions.
@@ -80,23 +99,27 @@
 	GPUs     float64     `cbor:"5,keyasint,omitempty"`
 	MemoryGB float64     `cbor:"6,keyasint"`
 	Until    loop.Micros `cbor:"7,keyasint"` // time of day
+	// Victims are the tasks that were stopped; told only where explanations are asked for.
+	Victims []string `cbor:"8,keyasint,omitempty"`
 }
 
 // Envelope is one frame.
 type Envelope struct {
-	From     string        `cbor:"1,keyasint"`
-	Status   *Status       `cbor:"2,keyasint,omitempty"`
-	Views    []*agent.View `cbor:"3,keyasint,omitempty"`
-	Starts   []agent.Start `cbor:"4,keyasint,omitempty"`
-	Stops    []agent.Stop  `cbor:"5,keyasint,omitempty"`
-	Drops    []agent.Drop  `cbor:"6,keyasint,omitempty"`
-	Tally    *Tally        `cbor:"7,keyasint,omitempty"`
-	Closes   []Close       `cbor:"8,keyasint,omitempty"`
-	Progress []Progress    `cbor:"9,keyasint,omitempty"`
-	Usage    []Usage       `cbor:"10,keyasint,omitempty"`
-	Claims   []Claim       `cbor:"11,keyasint,omitempty"`
-	Reserves []agent.Start `cbor:"12,keyasint,omitempty"`
-	Checks   []string      `cbor:"13,keyasint,omitempty"`
+	From      string        `cbor:"1,keyasint"`
+	Status    *Status       `cbor:"2,keyasint,omitempty"`
+	Views     []*agent.View `cbor:"3,keyasint,omitempty"`
+	Starts    []agent.Start `cbor:"4,keyasint,omitempty"`
+	Stops     []agent.Stop  `cbor:"5,keyasint,omitempty"`
+	Drops     []agent.Drop  `cbor:"6,keyasint,omitempty"`
+	Tally     *Tally        `cbor:"7,keyasint,omitempty"`
+	Closes    []Close       `cbor:"8,keyasint,omitempty"`
+	Progress  []Progress    `cbor:"9,keyasint,omitempty"`
+	Usage     []Usage       `cbor:"10,keyasint,omitempty"`
+	Claims    []Claim       `cbor:"11,keyasint,omitempty"`
+	Reserves  []agent.Start `cbor:"12,keyasint,omitempty"`
+	Checks    []string      `cbor:"13,keyasint,omitempty"`
+	Questions []Question    `cbor:"14,keyasint,omitempty"`
+	Replies   []Reply       `cbor:"15,keyasint,omitempty"`
 }
 
 const (
--- a/internal/placer/facts.go
+++ b/internal/placer/facts.go
@@ -11,7 +11,7 @@
 // facts are what a job's own gates judge by.
 func (p *Placer) facts(t *table) gate.Job {
 	tm := t.team
-	f := gate.Job{Spec: t.j.Spec, Hold: t.j.Terms.Hold, After: p.deps(t.j), OnWithdrawn: t.j.Terms.OnWithdrawn, Damaged: t.damaged,
+	f := gate.Job{Spec: t.j.Spec, Hold: &t.j.Terms.Hold, After: p.deps(t.j), OnWithdrawn: t.j.Terms.OnWithdrawn, Damaged: t.damaged,
 		Waiting: t.waiting(), InUse: t.inUse, Failures: t.failures, FailedOn: len(t.failedOn), BackOffTo: t.holdOff,
 		Used: agent.Room{CPUs: tm.cpus, GPUs: tm.gpus}, Max: agent.Room{CPUs: tm.cfg.CPUsMax, GPUs: tm.cfg.GPUsMax},
 		ClockTo: loop.Micros(p.cfg.Cluster.ClockOffMS * 2000)}
@@ -40,6 +40,15 @@
 	return out
 }
 
+// resting tells whether the job waits for its user or for other jobs, and uses nothing.
+func (p *Placer) resting(t *table) bool {
+	if t.inUse > 0 || (t.j.Terms.Hold.State == job.HoldNone && len(t.j.Terms.After) == 0) {
+		return false
+	}
+	f := p.facts(t)
+	return f.Passes(gate.Hold) == 0 || f.Passes(gate.Dependency) == 0
+}
+
 // barred tells why no start of the job on this machine may be recorded or sent: a hold,
 // or a cordon, has come since it was chosen. What bars here is stored, and every record
 // of a start is conditioned on the version that was known when it was taken.
--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -46,24 +46,27 @@
 		for _, t := range tm.jobs {
 			if !t.j.Final() && !t.closing && t.waiting() > 0 && p.open(t) {
 				if within == nil {
-					within = p.guaranteed(tm)
+					within = p.guaranteed(tm, nil)
 				}
 				q = append(q, entryOf{t, within[t], t.turn()})
 			}
 		}
 	}
-	sort.Slice(q, func(a, b int) bool {
-		if x, y := q[a].rank(), q[b].rank(); x != y {
-			return x > y
-		}
-		if x, y := q[a].turn, q[b].turn; x != y {
-			return x < y
-		}
-		return q[a].t.j.ID < q[b].t.j.ID
-	})
+	sort.Slice(q, func(a, b int) bool { return q[a].before(&q[b]) })
 	return q
 }
 
+// before tells whether e is served before o.
+func (e *entryOf) before(o *entryOf) bool {
+	if x, y := e.rank(), o.rank(); x != y {
+		return x > y
+	}
+	if e.turn != o.turn {
+		return e.turn < o.turn
+	}
+	return e.t.j.ID < o.t.j.ID
+}
+
 // turn orders jobs of one rank: first come, first served, but a small job may
 // overtake a large one by the time that the larger work takes its team.
 func (t *table) turn() loop.Micros {
@@ -106,12 +109,14 @@
 			}
 		}
 		missed := p.missed(t)
+		p.setShort(t, missed > 0 && probe > 0 || s.Gang && missed > 0)
 		if missed <= 0 || probe <= 0 {
 			t.missing = 0
 			continue
 		}
 		if t.missing == 0 {
 			t.missing = now
+			p.n.Meter.Miss()
 		}
 		if stops {
 			p.makeRoom(&e, missed, &b)
@@ -137,6 +142,7 @@
 		p.pre.news = nil
 	}
 	p.took = p.r.Now() - began
+	p.n.Meter.Pass(p.took, len(chosen))
 	p.log.Debug("placed", "tasks", len(chosen), "jobs", len(q), "missed", len(p.lastWant), "took_us", p.took)
 }
 
@@ -236,25 +242,28 @@
 // gangFits tells whether all waiting tasks of a gang find room at once, while none
 // of its tasks is left over from an earlier start.
 func (p *Placer) gangFits(t *table) bool {
-	s, n := t.j.Spec, t.waiting()
-	if t.inUse > 0 || p.missed(t) < n {
-		return false
-	}
-	trial := make([]*slot, len(p.fleet.order))
-	for i, sl := range p.fleet.order {
+	n := t.waiting()
+	return t.inUse == 0 && p.missed(t) >= n && p.trial(t, n, p.fleet.order) == n
+}
+
+// trial tells how many of n more tasks of the job find room now, placing none.
+func (p *Placer) trial(t *table, n int, slots []*slot) int {
+	trial := make([]*slot, len(slots))
+	for i, sl := range slots {
 		c := *sl
 		trial[i] = &c
 	}
 	need := t.need()
 	need.Zones = maps.Clone(t.zones)
+	got := 0
 	for _, sl := range p.ranked(t, trial) {
-		for n > 0 && sl.Takes(&need) {
-			sl.Room.Take(s)
+		for got < n && sl.Takes(&need) {
+			sl.Room.Take(need.Spec)
 			need.Zones[sl.V.Zone]++
-			n--
+			got++
 		}
 	}
-	return n == 0
+	return got
 }
 
 // missed is how many of a job's tasks wait for room and not for their team's limit.
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -13,6 +13,7 @@
 	"cleatpick/internal/job"
 	"cleatpick/internal/loop"
 	"cleatpick/internal/member"
+	"cleatpick/internal/metric"
 	"cleatpick/internal/peer"
 	"cleatpick/internal/store"
 	"cleatpick/internal/wire"
@@ -37,6 +38,10 @@
 	Usage func([]peer.Usage)
 	// Claims hands the peers the room that is kept for preempting jobs.
 	Claims func([]peer.Claim)
+	// Tells tells whether causes of waits are followed and told; Meter counts what is
+	// done, and may be nil.
+	Tells bool
+	Meter *metric.Meter
 }
 
 // Placer owns the tables of the owned teams.
@@ -402,6 +407,7 @@
 		// needed. Afterwards the refusal proves nothing: the start may be on its way,
 		// and taking one for the other let tasks run twice.
 		if x.state == Recording && x.expiry == 0 {
+			p.n.Meter.Refusal()
 			p.shut(d.Machine)
 			p.off(t, i, "reservation refused: "+d.Why)
 			p.Kick()
@@ -439,6 +445,9 @@
 	if x.sentTo != "" && x.sentTo != v.Host {
 		x.spread = true
 	}
+	if x.sentTo == "" {
+		p.n.Meter.Start()
+	}
 	x.sentTo, x.sentAt = v.Host, p.r.Now()
 	p.n.Start(v.Host, agent.Start{Machine: x.machine, Session: x.session, Task: t.name(i), Attempt: x.attempt, Expiry: x.expiry, From: p.n.Label})
 }
@@ -521,9 +530,13 @@
 		use = append(use, peer.Usage{Team: tm.cfg.Name, CPUs: tm.cpus, GPUs: tm.gpus})
 		for _, t := range tm.jobs {
 			d, run := int64(t.completed), int64(t.running)
-			if d != t.toldDone || run != t.toldRun {
+			news := d != t.toldDone || run != t.toldRun
+			if p.n.Tells && !t.j.Final() && p.newCauses(t, now-p.staleAfter(), wall) {
+				news = true
+			}
+			if news {
 				t.toldDone, t.toldRun = d, run
-				tell = append(tell, peer.Progress{Job: t.j.ID, Done: d, Running: run})
+				tell = append(tell, peer.Progress{Job: t.j.ID, Done: d, Running: run, Causes: t.causes, Waits: p.n.Tells})
 			}
 		}
 	}
--- a/internal/placer/preempt.go
+++ b/internal/placer/preempt.go
@@ -55,7 +55,8 @@
 	if sl == nil {
 		return // nothing is placed here on a machine that was not heard
 	}
-	sl.Claims = append(sl.Claims, c)
+	sl.Claims = append(sl.Claims, gate.Claim{Job: c.Job, Priority: c.Priority, Until: c.Until,
+		Room: agent.Room{CPUs: c.CPUs, GPUs: c.GPUs, MemoryGB: c.MemoryGB}})
 	p.pre.claimed[sl] = struct{}{}
 	p.pre.held[c.Job]++
 }
@@ -75,6 +76,7 @@
 func (p *Placer) LearnClaims(cs []peer.Claim) {
 	for _, c := range cs {
 		p.addClaim(c)
+		p.stoppedFor(c)
 	}
 }
 
@@ -278,6 +280,12 @@
 		p.fleet.touch(o.sl)
 		c := peer.Claim{Machine: o.sl.V.Name, Job: t.j.ID, Priority: int(s.Priority), CPUs: s.CPUs, GPUs: s.GPUs, MemoryGB: s.MemoryGB,
 			Until: p.r.Wall() + wait + 4*loop.Second}
+		if p.n.Tells {
+			for _, y := range o.set {
+				c.Victims = append(c.Victims, y.task.Task)
+			}
+			p.stoppedFor(c)
+		}
 		p.addClaim(c)
 		p.pre.news = append(p.pre.news, c)
 		if again, ok := p.optionOn(t, o.sl, now, within, excess); ok {
@@ -305,11 +313,10 @@
 
 // guaranteed lists the jobs of an owned team that fit into its guarantee together
 // with the team's earlier unfinished jobs.
-func (p *Placer) guaranteed(tm *team) map[*table]bool {
+func (p *Placer) guaranteed(tm *team, also *table) map[*table]bool {
 	all := make([]*table, 0, len(tm.jobs))
 	for _, t := range tm.jobs {
-		f := p.facts(t)
-		if resting := t.inUse == 0 && (f.Passes(gate.Hold) == 0 || f.Passes(gate.Dependency) == 0); !t.j.Final() && !resting {
+		if !t.j.Final() && (t == also || !p.resting(t)) {
 			all = append(all, t)
 		}
 	}
--- /dev/null
+++ b/internal/placer/terms_test.go
@@ -0,0 +1,120 @@
+package placer
+
+import (
+	"testing"
+
+	"cleatpick/internal/agent"
+	"cleatpick/internal/config"
+	"cleatpick/internal/cordon"
+	"cleatpick/internal/job"
+	"cleatpick/internal/loop"
+	"cleatpick/internal/wire"
+)
+
+func (g *rig) stored(id string) job.Record {
+	raw, _ := g.state.Value(job.Keys + id)
+	var rec job.Record
+	if wire.Unmarshal(raw, &rec) != nil {
+		panic("corrupt record")
+	}
+	return rec
+}
+
+// A start that was recorded before a hold may begin long after it, since a direct command
+// can be held back for minutes. Called set at once, such holds broke one world in a hundred.
+func TestHoldSettlesOnlyOnProof(t *testing.T) {
+	g := newRig(100, config.Team{Name: "red", CPUs: 50, CPUsMax: 50})
+	g.show("n-001", "m8", "x", false)
+	id := g.job(1, job.Spec{Class: "k", Team: "red", Tasks: 3, CPUs: 4, MemoryGB: 1, Image: "i", AnyType: true, Estimate: loop.Second})
+	g.Run(500 * loop.Millisecond)
+	if len(g.starts) < 2 {
+		t.Fatalf("%d starts went out, want 2", len(g.starts))
+	}
+	answers := 0
+	g.book.Hold(id, job.Hold{Reason: "r"}, func(a job.Answer) { answers++ })
+	g.Run(20 * loop.Second)
+	if s := g.stored(id).Terms.Hold.State; s != job.HoldSettling || answers != 1 {
+		t.Fatalf("the hold is %q after %d answers, while two starts may be under way", s, answers)
+	}
+	// One is fetching, and must be off first; the other runs, and goes on.
+	run := agent.Task{Task: "job-000001/0", Attempt: 1, State: wire.TaskRunning}
+	g.show("n-001", "m8", "x", false, run, agent.Task{Task: "job-000001/1", Attempt: 1, State: wire.TaskFetching})
+	g.Run(3 * loop.Second)
+	if s := g.stored(id).Terms.Hold.State; s != job.HoldSettling {
+		t.Fatalf("the hold is %q while a task of the job fetches its image", s)
+	}
+	g.show("n-001", "m8", "x", false, run, agent.Task{Task: "job-000001/1", Attempt: 1, State: wire.TaskExited, Why: wire.WhyStopped})
+	g.Run(3 * loop.Second)
+	if s := g.stored(id).Terms.Hold.State; s != job.HoldSet {
+		t.Fatalf("the hold is %q although nothing can begin any more", s)
+	}
+	g.starts = nil
+	g.Run(5 * loop.Second)
+	if len(g.starts) != 0 {
+		t.Fatalf("a held job starts %v", g.starts)
+	}
+	g.book.Release(id, func(job.Answer) {})
+	g.Run(2 * loop.Second)
+	if len(g.starts) == 0 || g.stored(id).Terms != nil {
+		t.Fatalf("after the release %d starts went out, terms %v", len(g.starts), g.stored(id).Terms)
+	}
+}
+
+// A record that was taken before a hold or a cordon must fail, although the owner has
+// not heard of either: its mirror stands still here.
+func TestRecordsAreConditionedOnTerms(t *testing.T) {
+	for _, what := range []string{"hold", "cordon"} {
+		g := newRig(100, config.Team{Name: "red", CPUs: 50, CPUsMax: 50})
+		g.show("n-001", "m8", "x", false)
+		id := g.job(1, job.Spec{Class: "k", Team: "red", Tasks: 1, CPUs: 4, MemoryGB: 1, Image: "i", AnyType: true, Estimate: loop.Second})
+		for g.p.teams["red"].jobs[id].task(0).state != Recording {
+			g.Run(loop.Millisecond)
+		}
+		if what == "hold" {
+			rec := g.stored(id)
+			rec.Terms = &job.Terms{Hold: job.Hold{State: job.HoldSettling}}
+			g.state.Put(job.Keys+id, rec)
+		} else {
+			g.state.Put(cordon.Key, map[string]any{"f": 1, "c": []cordon.Cordon{{Name: "c", Zone: "x", Reason: "r"}}})
+		}
+		g.Run(10 * loop.Second)
+		if x := g.p.teams["red"].jobs[id].task(0); len(g.starts) != 0 || x.state != Waiting {
+			t.Errorf("%s: %d starts went out; the task is in state %d, want waiting", what, len(g.starts), x.state)
+		}
+	}
+}
+
+// A job may be released from one before it that was withdrawn, may be withdrawn with it,
+// or waits for an operator.
+func TestWithdrawnDependencies(t *testing.T) {
+	for _, c := range []struct {
+		policy  job.Policy
+		started bool
+		phase   job.Phase
+	}{{job.PolicyHold, false, job.Accepted}, {job.PolicyRelease, true, job.Accepted}, {job.PolicyWithdraw, false, job.Withdrawn}} {
+		g := newRig(100, config.Team{Name: "red", CPUs: 50, CPUsMax: 50})
+		g.show("n-001", "m8", "x", false)
+		spec := job.Spec{Class: "k", Team: "red", Tasks: 1, CPUs: 1, MemoryGB: 1, Image: "i", AnyType: true, Estimate: loop.Second}
+		other := spec
+		other.Team = "blue" // owned elsewhere
+		first := g.job(1, other)
+		g.book.Propose("job-000002", &spec, &job.Terms{After: []string{first}, OnWithdrawn: c.policy}, func(job.Answer) {})
+		g.Run(2 * loop.Second)
+		if len(g.starts) != 0 {
+			t.Fatalf("%q: %v went out before %s was done", c.policy, g.starts, first)
+		}
+		g.book.Withdraw(first, func(job.Answer) {})
+		g.Run(3 * loop.Second)
+		if got := g.stored("job-000002").Phase; (len(g.starts) > 0) != c.started || got != c.phase {
+			t.Errorf("%q: %d starts and phase %q, want started %v and %q", c.policy, len(g.starts), got, c.started, c.phase)
+		}
+		if c.policy != job.PolicyHold {
+			continue
+		}
+		g.book.Release("job-000002", func(job.Answer) {})
+		g.Run(2 * loop.Second)
+		if len(g.starts) == 0 {
+			t.Errorf("no start after the operator's release")
+		}
+	}
+}
--- a/internal/rental/order.go
+++ b/internal/rental/order.go
@@ -242,7 +242,9 @@
 			t.log.Info("rented", "order", o.name, "type", of.typ, "zone", of.zone, "spot", of.spot, "asked", o.o.Count, "got", len(got.Machines))
 			o.o.Answered, o.o.Machines, o.finished = true, got.Machines, t.r.Now()
 			for _, name := range got.Machines {
-				t.adopt(name, of.typ, of.zone, of.spot)
+				if m := t.adopt(name, of.typ, of.zone, of.spot); m != nil && m.state == Booting {
+					m.rented = true
+				}
 			}
 			if len(got.Machines) < o.o.Count {
 				t.refuse(of)
--- a/internal/rental/rental.go
+++ b/internal/rental/rental.go
@@ -14,8 +14,10 @@
 
 	"cleatpick/internal/agent"
 	"cleatpick/internal/config"
+	"cleatpick/internal/explain"
 	"cleatpick/internal/loop"
 	"cleatpick/internal/member"
+	"cleatpick/internal/metric"
 	"cleatpick/internal/peer"
 	"cleatpick/internal/store"
 	"cleatpick/internal/wire"
@@ -60,6 +62,7 @@
 	probes   int
 	asked    loop.Micros
 	firstSaw loop.Micros
+	rented   bool        // by this leader, so that since is exact
 	spareTo  loop.Micros // end of the standby of a machine that is not needed; 0: needed
 }
 
@@ -123,6 +126,7 @@
 	Faulty func(machine string) bool
 	// Probe asks a worker for its report; it blocks, and runs off the loop.
 	Probe func(addr string) bool
+	Meter *metric.Meter // may be nil
 }
 
 // Rental is the leader's part.
@@ -155,6 +159,7 @@
 	listed   bool // a list was read in this leadership
 	spareAt  loop.Micros
 	judged   loop.Micros
+	boots    *explain.Dist       // how long machines took to boot, in their nominal times
 	deleted  map[string][]string // machines by the record of their deletion
 	// OnGone is called once for every machine that is known to be deleted.
 	OnGone func(string)
@@ -163,7 +168,7 @@
 // New makes the rental slice.
 func New(r loop.Runner, log *slog.Logger, cfg *config.Config, c *store.Client, m *store.Mirror, cloud store.Doer, a *agent.Agent, n Node) *Rental {
 	t := &Rental{r: r, log: log, cfg: cfg, c: c, m: m, cloud: cloud, agent: a, n: n, byName: map[string]wire.MachineType{},
-		tallies: map[string]peer.Tally{}, tallyAt: map[string]loop.Micros{}, deleted: map[string][]string{}}
+		tallies: map[string]peer.Tally{}, tallyAt: map[string]loop.Micros{}, deleted: map[string][]string{}, boots: explain.NewDist()}
 	m.On(CatalogKey, func(key string, e store.Entry) {
 		var rec catalogRecord
 		if e.Mark == 0 {
@@ -278,6 +283,10 @@
 	}
 	m.heard, m.probes = t.r.Now(), 0
 	if m.state == Booting {
+		if typ, ok := t.byName[m.typ]; ok && typ.BootS > 0 && m.rented {
+			// In boot times, so that types can share what is known: one is a second.
+			t.boots.Add(loop.Micros(float64(t.r.Now()-m.since) / typ.BootS))
+		}
 		t.setState(m, Up, "heard")
 	}
 	if empty(v) {
@@ -387,6 +396,7 @@
 			if resp.Err != nil || resp.Status == 429 || (resp.Status == 503 && !strings.Contains(string(resp.Body), "capacity")) {
 				t.pauseTo = t.r.Now() + 600*loop.Millisecond
 			}
+			t.n.Meter.Cloud(metric.Outcome(resp.Status, resp.Err))
 			cb(resp)
 		})
 	})
--- /dev/null
+++ b/internal/rental/supply.go
@@ -0,0 +1,104 @@
+package rental
+
+import (
+	"cmp"
+	"slices"
+
+	"cleatpick/internal/agent"
+	"cleatpick/internal/explain"
+	"cleatpick/internal/job"
+	"cleatpick/internal/loop"
+)
+
+// mostOffers bounds each list of a supply.
+const mostOffers = 20
+
+// Supply tells what this leader has asked the cloud for that could take a task like s.
+func (t *Rental) Supply(s *job.Spec) explain.Supply {
+	out := explain.Supply{State: "nothing"}
+	if !t.leads {
+		out.State = "noLeader"
+		return out
+	}
+	now, wall := t.r.Now(), t.r.Wall()
+	serves := func(typ, zone string, spot bool) bool {
+		x, ok := t.byName[typ]
+		room := agent.Room{CPUs: x.CPUs, GPUs: x.GPUs, MemoryGB: x.MemoryGB}
+		return ok && room.Fits(s) && s.AllowsPlace(typ, zone, spot) && !t.cordoned(offer{typ, zone, spot})
+	}
+	for _, w := range t.wants() {
+		if w.CPUs == s.CPUs && w.GPUs == s.GPUs && w.MemoryGB == s.MemoryGB && w.Zone == s.Zone && w.Spot == s.Spot && slices.Equal(w.Types, s.Types) {
+			out.Missed += w.Count
+		}
+	}
+	for _, x := range t.types {
+		for _, z := range x.Zones {
+			for _, spot := range []bool{true, false} {
+				if !serves(x.Name, z, spot) {
+					continue
+				}
+				out.Offers++
+				if b := t.offers[offer{x.Name, z, spot}]; b != nil && now < b.until && len(out.Refused) < mostOffers {
+					until := explain.Time(wall + b.until - now)
+					out.Refused = append(out.Refused, explain.Offer{Type: x.Name, Zone: z, Kind: explain.Kind(spot), Until: &until})
+				}
+			}
+		}
+	}
+	for _, o := range t.orders {
+		if !o.o.Answered && !o.refused && serves(o.o.Type, o.o.Zone, o.o.Spot) && len(out.Ordered) < mostOffers {
+			out.Ordered = append(out.Ordered, explain.Offer{Type: o.o.Type, Zone: o.o.Zone, Kind: explain.Kind(o.o.Spot), Count: o.o.Count})
+		}
+	}
+	t.supplyBoots(&out, serves)
+	switch {
+	case len(out.Booting) > 0:
+		out.State = "booting"
+	case len(out.Ordered) > 0:
+		out.State = "ordered"
+	case out.Offers > 0 && len(out.Refused) == out.Offers:
+		out.State = "refused"
+	case out.Offers > 0 && out.Missed > 0:
+		out.State = "requested"
+	case out.Offers > 0:
+		out.State = "notAsked" // what falls free at once is not rented for
+	}
+	return out
+}
+
+// supplyBoots counts the machines that boot, and estimates when the oldest is up.
+func (t *Rental) supplyBoots(out *explain.Supply, serves func(typ, zone string, spot bool) bool) {
+	now := t.r.Now()
+	by := map[offer]*explain.Booting{}
+	for _, m := range t.machines {
+		if m.state != Booting || !serves(m.typ, m.zone, m.spot) {
+			continue
+		}
+		of := offer{m.typ, m.zone, m.spot}
+		b := by[of]
+		if b == nil {
+			if len(by) >= mostOffers {
+				continue
+			}
+			b = &explain.Booting{Offer: explain.Offer{Type: m.typ, Zone: m.zone, Kind: explain.Kind(m.spot)}, Nominal: explain.Span(loop.Seconds(t.byName[m.typ].BootS))}
+			by[of] = b
+		}
+		b.Count++
+		b.Age = max(b.Age, explain.Span(now-m.since))
+	}
+	for _, b := range by {
+		out.Booting = append(out.Booting, *b)
+		nominal := t.byName[b.Type].BootS
+		if e := t.boots.Left(loop.Micros(float64(b.Age) / max(nominal, 0.001))); e != nil {
+			e.Low, e.Likely, e.High = scale(e.Low, nominal), scale(e.Likely, nominal), scale(e.High, nominal)
+			if out.Estimate == nil || e.Likely < out.Estimate.Likely {
+				out.Estimate = e
+			}
+		}
+	}
+	slices.SortFunc(out.Booting, func(a, b explain.Booting) int {
+		return cmp.Or(cmp.Compare(a.Type, b.Type), cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Kind, b.Kind))
+	})
+}
+
+func scale(s explain.Span, by float64) explain.Span { return explain.Span(float64(s) * by) }
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"cleatpick/internal/loop"
+	"cleatpick/internal/metric"
 	"cleatpick/internal/wire"
 
 	"github.com/valyala/fasthttp"
@@ -141,6 +142,9 @@
 	waking   bool
 	pauseTo  loop.Micros
 
+	// Meter counts requests by outcome; it may be nil.
+	Meter *metric.Meter
+
 	// lastOK is when the newest request that was answered well was sent.
 	lastOK loop.Micros
 	// LastBad is when the newest failure came.
@@ -247,6 +251,7 @@
 func (c *Client) finished(q request, sent loop.Micros, resp Response) {
 	c.inFlight--
 	c.note(sent, resp)
+	c.Meter.State(metric.Outcome(resp.Status, resp.Err), c.r.Now()-sent)
 	q.cb(resp)
 	c.pump()
 }
