--- /dev/null
+++ b/internal/api/api_test.go
@@ -0,0 +1,295 @@
+package api
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"cleatpick/internal/config"
+	"cleatpick/internal/cordon"
+	"cleatpick/internal/explain"
+	"cleatpick/internal/job"
+	"cleatpick/internal/loop"
+	"cleatpick/internal/metric"
+	"cleatpick/internal/standin"
+	"cleatpick/internal/store"
+	"cleatpick/internal/wire"
+
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttputil"
+)
+
+// rig is the interface of one node over a stand-in state service. Time moves by hand in
+// a goroutine of its own, as fast as it can, so that nothing waits for a clock.
+type rig struct {
+	*standin.Stepped
+	state *standin.State
+	keys  map[string]string
+	http  *fasthttp.Client
+	api   *API
+}
+
+// post runs what is handed to the loop from other goroutines.
+type post struct {
+	*standin.Stepped
+	in chan func()
+}
+
+func (p *post) Post(f func()) { p.in <- f }
+
+func newRig(t testing.TB) *rig {
+	g := &rig{Stepped: standin.NewStepped(1000 * loop.Second), keys: map[string]string{}}
+	p := &post{g.Stepped, make(chan func(), 256)}
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	cfg := &config.Config{Operator: config.Defaults()}
+	cfg.Cluster.Teams = []config.Team{{Name: "red", CPUs: 8, CPUsMax: 32}}
+	cfg.Operator.API.Enabled = true
+	for _, role := range []string{"read", "submit", "operate"} {
+		token, k := NewKey(role, role)
+		g.keys[role] = token
+		cfg.Operator.API.Keys = append(cfg.Operator.API.Keys, k)
+	}
+	g.state = standin.NewState(func() loop.Micros { return g.Now() })
+	c := store.NewClient(g.Stepped, g.state, log, 1e5, 1e5, 1)
+	m := store.NewMirror(c, g.state, "c/")
+	book := job.NewBook(g.Stepped, c, m, log, 16)
+	cordons := cordon.NewBook(g.Stepped, c, m, log, 0)
+	meter := metric.New()
+	desk := explain.NewDesk(g.Stepped, explain.Node{
+		Label: "a", Poll: book.Poll, Job: book.Get,
+		Owner: func(string) string { return "" }, Leader: func() string { return "" },
+		Facts:  func(string) (*explain.Facts, bool) { return nil, false },
+		Supply: func(*job.Spec) explain.Supply { return explain.Supply{} },
+		Counts: func(*job.Job) job.Counts { return job.Counts{} },
+		Ask:    func(_, _ string, _ any, _ loop.Micros, cb func(wire.Raw, bool)) { cb(nil, false) },
+		Handle: func(string, func(wire.Raw, func(any))) {},
+		Meter:  meter,
+	})
+	g.api = New(p, log, cfg, Node{
+		Ready: m.Ready,
+		Types: func() []wire.MachineType {
+			return []wire.MachineType{{Name: "m8", CPUs: 8, MemoryGB: 32, Zones: []string{"x"}}}
+		},
+		Counts:   func(*job.Job) job.Counts { return job.Counts{} },
+		Machines: func() []Machine { return nil },
+		Unheard:  func() []string { return nil },
+		Book:     book, Cordons: cordons, Desk: desk,
+		Unseen: func(_ string, cb func(int, bool)) { cb(0, true) },
+	}, meter)
+	m.Start()
+	g.Run(loop.Second)
+	done := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case f := <-p.in:
+				f()
+				g.Run(200 * loop.Millisecond)
+			case <-done:
+				return
+			}
+		}
+	}()
+	ln := fasthttputil.NewInmemoryListener()
+	srv := &fasthttp.Server{Handler: g.api.Handle, MaxRequestBodySize: 64 << 10, ErrorHandler: func(ctx *fasthttp.RequestCtx, err error) {
+		ctx.SetUserValue("broken", err)
+		g.api.Handle(ctx)
+	}}
+	go srv.Serve(ln)
+	g.http = &fasthttp.Client{Dial: func(string) (net.Conn, error) { return ln.Dial() }, ReadTimeout: 10 * time.Second}
+	t.Cleanup(func() { ln.Close(); close(done) })
+	return g
+}
+
+// do makes one request and checks that an error has the form that is promised.
+func (g *rig) do(t testing.TB, key, method, path, body string) (int, map[string]any) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	req.SetRequestURI("http://a" + path)
+	req.Header.SetMethod(method)
+	if key != "" {
+		req.Header.Set("Authorization", key)
+	}
+	if body != "" {
+		req.SetBodyString(body)
+	}
+	if err := g.http.Do(req, resp); err != nil {
+		t.Fatalf("%s %s: %v", method, path, err)
+	}
+	var out map[string]any
+	code := resp.StatusCode()
+	if path != "/metrics" || code >= 300 {
+		if err := json.Unmarshal(resp.Body(), &out); err != nil {
+			t.Fatalf("%s %s gives %d and no JSON: %.200s", method, path, code, resp.Body())
+		}
+	}
+	if code >= 400 {
+		kind, _ := out["type"].(string)
+		if !strings.HasPrefix(kind, "urn:cleatpick:problem:") || out["title"] == "" || int(out["status"].(float64)) != code ||
+			string(resp.Header.ContentType()) != "application/problem+json" {
+			t.Errorf("%s %s gives %d with %v", method, path, code, out)
+		}
+		if (code == 503 || code == 429) && len(resp.Header.Peek("Retry-After")) == 0 {
+			t.Errorf("%s %s gives %d without Retry-After", method, path, code)
+		}
+	}
+	return code, out
+}
+
+func (g *rig) keyOf(role string) string { return "Bearer " + g.keys[role] }
+
+const good = `{"id":"job-000001","class":"k","team":"red","tasks":2,"cpus":1,"memoryGb":1,"image":"i"}`
+
+func with(fields string) string { return strings.TrimSuffix(good, "}") + "," + fields + "}" }
+
+// Bad input gets an error that names what is wrong, and nothing of it is stored.
+func TestBadInput(t *testing.T) {
+	g := newRig(t)
+	var many []string
+	for i := range 10000 {
+		many = append(many, fmt.Sprintf(`"job-%06d"`, 100+i))
+	}
+	for _, c := range []struct {
+		key, method, path, body string
+		code                    int
+		kind, field             string
+	}{
+		{"", "GET", "/v1/jobs", "", 401, "key", ""},
+		{"Bearer nonsense", "GET", "/v1/jobs", "", 401, "key", ""},
+		{"Basic " + g.keys["operate"], "GET", "/v1/jobs", "", 401, "key", ""},
+		{g.keyOf("read"), "POST", "/v1/jobs", good, 403, "role", ""},
+		{g.keyOf("submit"), "POST", "/v1/jobs/job-000001/hold", `{"reason":"r"}`, 403, "role", ""},
+		{g.keyOf("submit"), "PUT", "/v1/cordons/c", `{"zone":"x","reason":"r"}`, 403, "role", ""},
+		{g.keyOf("read"), "GET", "/v1/nothing", "", 404, "path", ""},
+		{g.keyOf("read"), "DELETE", "/v1/jobs", "", 405, "method", ""},
+		{g.keyOf("read"), "GET", "/v1/jobs/job-000077", "", 404, "unknown-job", ""},
+		{g.keyOf("read"), "GET", "/v1/jobs/job-000077/why", "", 404, "unknown-job", ""},
+		{g.keyOf("read"), "GET", "/v1/jobs/nonsense/why", "", 400, "job-id", ""},
+		{g.keyOf("operate"), "POST", "/v1/jobs/job-000077/hold", `{"reason":"r"}`, 404, "unknown-job", ""},
+		{g.keyOf("operate"), "POST", "/v1/jobs/job-000077/hold", `{}`, 400, "body", "/reason"},
+		{g.keyOf("operate"), "POST", "/v1/jobs/job-000077/hold", `{"reason":"r","until":"tomorrow"}`, 400, "body", "/until"},
+		{g.keyOf("operate"), "POST", "/v1/jobs/job-000077/hold", `{"reason":"r","until":"1969-01-01T00:00:00Z"}`, 422, "past", "/until"},
+		{g.keyOf("submit"), "POST", "/v1/jobs", `{`, 400, "body", ""},
+		{g.keyOf("submit"), "POST", "/v1/jobs", `[]`, 400, "body", "/"},
+		{g.keyOf("submit"), "POST", "/v1/jobs", `{"id":"job-000001"}`, 400, "body", "/class"},
+		{g.keyOf("submit"), "POST", "/v1/jobs", with(`"cpu":3`), 400, "body", "/cpu"},
+		{g.keyOf("submit"), "POST", "/v1/jobs", strings.Replace(good, `"tasks":2`, `"tasks":0`, 1), 400, "body", "/tasks"},
+		{g.keyOf("submit"), "POST", "/v1/jobs", strings.Replace(good, `"cpus":1`, `"cpus":-1`, 1), 400, "body", "/cpus"},
+		{g.keyOf("submit"), "POST", "/v1/jobs", strings.Replace(good, `job-000001`, `work-1`, 1), 400, "body", "/id"},
+		{g.keyOf("submit"), "POST", "/v1/jobs", with(`"after":[` + strings.Join(many[:3000], ",") + `]`), 400, "body", "/after"},
+		{g.keyOf("submit"), "POST", "/v1/jobs", with(`"after":[` + strings.Join(many, ",") + `]`), 413, "too-large", ""},
+		{g.keyOf("submit"), "POST", "/v1/jobs", with(`"after":["job-000001"]`), 422, "after-itself", "/after"},
+		{g.keyOf("submit"), "POST", "/v1/jobs", with(`"after":["job-000088"]`), 422, "unknown-after", "/after"},
+		{g.keyOf("submit"), "POST", "/v1/jobs", with(`"onWithdrawn":"perhaps"`), 400, "body", "/onWithdrawn"},
+		{g.keyOf("submit"), "POST", "/v1/jobs", strings.Replace(good, `"red"`, `"nobody"`, 1), 422, "cannot-run", ""},
+		{g.keyOf("submit"), "POST", "/v1/jobs", strings.Replace(good, `"cpus":1`, `"cpus":99`, 1), 422, "cannot-run", ""},
+		{g.keyOf("operate"), "PUT", "/v1/cordons/c", `{"reason":"r"}`, 400, "body", ""},
+		{g.keyOf("operate"), "PUT", "/v1/cordons/c", `{"zone":"x","reason":"r","until":"1969-01-01T00:00:00Z"}`, 422, "past", "/until"},
+		{g.keyOf("operate"), "PUT", "/v1/cordons/" + strings.Repeat("c", 65), `{"zone":"x","reason":"r"}`, 400, "query", ""},
+		{g.keyOf("operate"), "DELETE", "/v1/cordons/none", "", 404, "unknown-cordon", ""},
+		{g.keyOf("read"), "GET", "/v1/jobs?limit=0", "", 400, "query", "limit"},
+		{g.keyOf("read"), "GET", "/v1/jobs?state=odd", "", 400, "query", "state"},
+		{g.keyOf("read"), "GET", "/v1/jobs?waitingFor=godot", "", 400, "query", "waitingFor"},
+	} {
+		code, out := g.do(t, c.key, c.method, c.path, c.body)
+		field, _ := out["field"].(string)
+		if code != c.code || out["type"] != "urn:cleatpick:problem:"+c.kind || (c.field != "" && field != c.field) {
+			t.Errorf("%s %s %.80s gives %d %v at %q, want %d %s at %q", c.method, c.path, c.body, code, out["type"], field, c.code, c.kind, c.field)
+		}
+	}
+	for _, key := range []string{"c/j/job-000001", "c/j/job-000077", cordon.Key} {
+		if _, ok := g.state.Value(key); ok {
+			t.Errorf("%s was stored by what was refused", key)
+		}
+	}
+}
+
+// A job's life through the interface; the same ids mean the same jobs by the protocol.
+func TestLifeOfAJob(t *testing.T) {
+	g := newRig(t)
+	step := func(method, path, body string, code int, want map[string]any) {
+		t.Helper()
+		got, out := g.do(t, g.keyOf("operate"), method, path, body)
+		if got != code {
+			t.Fatalf("%s %s gives %d, want %d: %v", method, path, got, code, out)
+		}
+		for k, v := range want {
+			x := out[k]
+			if m, ok := x.(map[string]any); ok {
+				x = m["state"]
+			}
+			if fmt.Sprint(x) != fmt.Sprint(v) {
+				t.Errorf("%s %s gives %s %v, want %v", method, path, k, x, v)
+			}
+		}
+	}
+	step("POST", "/v1/jobs", good, 201, map[string]any{"state": "pending", "hold": "none", "priority": "standard"})
+	step("POST", "/v1/jobs", good, 200, nil)
+	step("POST", "/v1/jobs", strings.Replace(with(`"after":["job-000001"],"hold":true,"holdReason":"r"`), "job-000001", "job-000002", 1), 201,
+		map[string]any{"hold": "held", "onWithdrawn": "hold"})
+	step("POST", "/v1/jobs", strings.Replace(good, "job-000001", "job-000002", 1), 200, map[string]any{"hold": "held"})
+	step("POST", "/v1/jobs/job-000001/hold", `{"reason":"an audit"}`, 200, map[string]any{"hold": "settling"})
+	step("POST", "/v1/jobs/job-000001/hold", `{"reason":"an audit"}`, 200, map[string]any{"hold": "settling"})
+	step("POST", "/v1/jobs/job-000001/release", "", 200, map[string]any{"hold": "none"})
+	step("GET", "/v1/jobs/job-000001/why", "", 200, map[string]any{"complete": false, "waiting": 2})
+	step("POST", "/v1/jobs/job-000001/withdraw", "", 200, map[string]any{"state": "withdrawn"})
+	step("POST", "/v1/jobs/job-000001/hold", `{"reason":"late"}`, 409, nil)
+	step("GET", "/v1/jobs/job-000001/why", "", 200, map[string]any{"standing": "withdrawn", "complete": true})
+	step("PUT", "/v1/cordons/racks", `{"zone":"x","reason":"new racks"}`, 200, map[string]any{"name": "racks", "by": "operate"})
+	step("GET", "/v1/cordons/racks", "", 200, map[string]any{"zone": "x", "unseenStarts": 0})
+	step("DELETE", "/v1/cordons/racks", "", 200, nil)
+	step("GET", "/v1/cordons/racks", "", 404, nil)
+	step("GET", "/v1/queue", "", 200, map[string]any{"complete": true})
+	for i := range cordon.Most {
+		step("PUT", fmt.Sprintf("/v1/cordons/c%d", i), `{"machine":"n-1","reason":"r"}`, 200, nil)
+	}
+	step("PUT", "/v1/cordons/one-more", `{"machine":"n-1","reason":"r"}`, 409, nil)
+	step("PUT", "/v1/cordons/c7", `{"machine":"n-2","reason":"another"}`, 200, nil)
+	// Pages leave nothing out and repeat nothing.
+	for i := range 7 {
+		step("POST", "/v1/jobs", strings.Replace(good, "job-000001", fmt.Sprintf("job-0001%02d", i), 1), 201, nil)
+	}
+	seen := map[string]bool{}
+	for after := ""; ; {
+		_, out := g.do(t, g.keyOf("read"), "GET", "/v1/jobs?limit=3&after="+after, "")
+		for _, j := range out["jobs"].([]any) {
+			id := j.(map[string]any)["id"].(string)
+			if seen[id] {
+				t.Errorf("%s stands on two pages", id)
+			}
+			seen[id] = true
+		}
+		next, more := out["next"].(string)
+		if !more {
+			break
+		}
+		after = next
+	}
+	if len(seen) != 8 || seen["job-000001"] {
+		t.Errorf("the pages hold %v", seen)
+	}
+}
+
+// Whatever comes in gets an answer in the form that is promised, and never a crash.
+func FuzzPaths(f *testing.F) {
+	g := newRig(f)
+	for _, path := range []string{"/v1/jobs", "/v1/jobs/job-000001", "/v1/jobs/job-000001/hold", "/v1/jobs/x/why", "/v1/cordons/c", "/v1/queue", "/v1/schema", "/v1//", "/v1/machines?limit=9&after=%00"} {
+		for m := range []string{"GET", "POST", "PUT", "DELETE"} {
+			f.Add(m, path, good)
+			f.Add(m, path, `{"reason":"r","zone":"x"}`)
+		}
+	}
+	f.Fuzz(func(t *testing.T, method int, path, body string) {
+		if !strings.HasPrefix(path, "/v1/") || strings.ContainsAny(path, " \r\n#") || len(path) > 500 {
+			return
+		}
+		m := []string{"GET", "POST", "PUT", "DELETE"}[method&3]
+		if code, out := g.do(t, g.keyOf("operate"), m, path, body); code == 500 || code == 503 {
+			t.Fatalf("%s %q gives %d %v", m, path, code, out)
+		}
+	})
+}
--- a/internal/explain/answer.go
+++ b/internal/explain/answer.go
@@ -74,8 +74,8 @@
 	Estimate  *Estimate `json:"estimate"`
 }
 
-// Estimate is when a reason may end, from now on: in nine of ten cases after Low, in
-// half of them before Likely, in nine of ten before High.
+// Estimate is when a reason may end, from now on: in half of the cases before Likely, in
+// about eight of ten between Low and High (measured, see docs/RESULTS.md).
 type Estimate struct {
 	Low     Span `json:"lowS"`
 	Likely  Span `json:"likelyS"`
--- a/internal/explain/desk.go
+++ b/internal/explain/desk.go
@@ -90,8 +90,12 @@
 
 func urgent(j *job.Job) bool { return j != nil && j.Spec != nil && j.Spec.Priority >= job.High }
 
-func (d *Desk) ended(id string, k gate.Kind, took loop.Micros) {
-	d.n.Meter.Wait(k.String(), took)
+// ended takes in a wait that is over. Every node learns from all owners' waits, so that
+// one that takes a team over can estimate at once; only the owner counts it.
+func (d *Desk) ended(id string, k gate.Kind, took loop.Micros, own bool) {
+	if own {
+		d.n.Meter.Wait(k.String(), took)
+	}
 	d.waits.Add(k, urgent(d.n.Job(id)), took)
 }
 
@@ -198,7 +202,7 @@
 		a.Standing = standing(a)
 		if !w.Sure {
 			a.Complete = false
-			a.Missing = append(a.Missing, "more work comes before this job than was looked at")
+			a.Missing = append(a.Missing, "which work takes the room before this job depends on what falls free where")
 		}
 		if w.Reasons != nil {
 			a.Reasons = w.Reasons
--- a/internal/explain/facts.go
+++ b/internal/explain/facts.go
@@ -27,6 +27,7 @@
 	Barred  bool     // every place that the job allows is cordoned, rented or not
 	Cordons []string // that bar a place that the job allows
 	Behind  int      // tasks that would wait for the work ahead alone
+	Exact   bool     // Behind is certain: it does not matter which machine takes what
 	Sure    bool     // all work ahead was looked at
 	Ahead   []Ahead
 	Flights []Flight
@@ -184,7 +185,11 @@
 			tasks = n
 		}
 		r := add(gate.Rank, tasks)
-		r.State, r.Release = "behind", "the work named gets its room, or is withdrawn"
+		r.State = "behind"
+		if !f.Exact {
+			r.State = "mayBeBehind"
+		}
+		r.Release = "the work named gets its room, or is withdrawn"
 		r.Detail.Ahead = f.Ahead[:min(len(f.Ahead), mostAhead)]
 		for _, a := range r.Detail.Ahead {
 			r.BlockedBy = append(r.BlockedBy, a.Job)
--- a/internal/explain/timeline.go
+++ b/internal/explain/timeline.go
@@ -37,8 +37,8 @@
 type Timelines struct {
 	lines map[string]*line
 	over  []string
-	// Ended is told of every span that ends, by the owner's node only.
-	Ended func(job string, k gate.Kind, took loop.Micros)
+	// Ended is told of every span that ends; own: of a job that this node owns.
+	Ended func(job string, k gate.Kind, took loop.Micros, own bool)
 }
 
 // NewTimelines makes an empty memory.
@@ -74,8 +74,8 @@
 	for i := len(l.spans) - 1; i >= open; i-- {
 		if s := l.spans[i]; !holds(causes, s.kind) {
 			changed = true
-			if own && t.Ended != nil {
-				t.Ended(id, s.kind, wall-s.from)
+			if t.Ended != nil {
+				t.Ended(id, s.kind, wall-s.from, own)
 			}
 			l.end(i, open, wall)
 			open++
--- a/internal/explain/waits.go
+++ b/internal/explain/waits.go
@@ -1,6 +1,8 @@
 package explain
 
 import (
+	"math"
+
 	"cleatpick/internal/gate"
 	"cleatpick/internal/loop"
 
@@ -13,7 +15,7 @@
 	longest    = 12 * 3600 * loop.Second / unit
 	digits     = 2
 	windows    = 2
-	fewSamples = 12 // below this many waits that lasted as long nothing is said
+	fewSamples = 8 // below this many waits that lasted as long nothing is said
 )
 
 // rotateAfter is how many waits one window takes in: old ones must not weigh for ever,
@@ -26,6 +28,9 @@
 	lowQuantile, highQuantile = 0.06, 0.94
 )
 
+// spread is by how much an estimate that rests on a single wait would be stretched.
+const spread = 2.0
+
 // Waits are distributions of how long causes held, kept by kind and by urgency.
 type Waits struct {
 	by map[waitKey]*Dist
@@ -100,5 +105,9 @@
 		v := h.ValueAtPercentile(100 * (float64(below) + q*float64(left)) / float64(total))
 		return Span(max(v*unit-elapsed, 0))
 	}
-	return &Estimate{Low: at(lowQuantile), Likely: at(0.5), High: at(highQuantile), Samples: int(left)}
+	// Waits that have not ended yet are not among these, and are the long ones: the fewer
+	// are known, the further the truth may lie beyond them.
+	high := at(highQuantile)
+	high += Span(float64(high) * spread / math.Sqrt(float64(left)))
+	return &Estimate{Low: at(lowQuantile), Likely: at(0.5), High: high, Samples: int(left)}
 }
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -172,6 +172,10 @@
 }
 
 func newWorld(t testing.TB, seed uint64) *world {
+	return newWorldWith(t, seed, func(*config.Config) {})
+}
+
+func newWorldWith(t testing.TB, seed uint64, settings func(*config.Config)) *world {
 	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 7)), now: 3600 * loop.Second, labels: []string{"a", "b", "c"},
 		nodes: map[string]*simNode{}, workers: map[string]*simWorker{}, jobs: map[string]*simJob{}, cut: map[string]cutMode{},
 		active: map[string]string{}, doneT: map[string]bool{}, teams: map[string]float64{}}
@@ -185,6 +189,7 @@
 	c.Cluster.State.RPS, c.Cluster.State.WriteRPS, c.Cluster.State.ValueKB, c.Cluster.State.TxnOps = 600, 300, 16, 16
 	c.Cluster.Cloud.RPS, c.Cluster.Cloud.ListLagS = 5, 2
 	c.Cluster.Limits.RAMMB, c.Cluster.Limits.MaxSockets = 100, 500
+	settings(c)
 	w.state = standin.NewState(func() loop.Micros { return w.now })
 	w.cloud = standin.NewCloud(wire.MachineType{Name: "m8", CPUs: 8, MemoryGB: 32, CacheGB: 20, FetchGBs: 1, Price: 1, SpotPrice: 0.3, BootS: 4, Zones: []string{"x", "y"}}, 6)
 	w.cloud.Up = func(m wire.Listed) { w.at(w.between(2*loop.Second, 8*loop.Second), func() { w.boot(m) }) }
--- a/internal/placer/explain.go
+++ b/internal/placer/explain.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"sort"
 
 	"cleatpick/internal/agent"
 	"cleatpick/internal/cordon"
@@ -37,7 +38,6 @@
 		After: now - p.staleAfter(), Running: t.running, Done: t.completed}
 	f.Gate.Now, f.Gate.Wall = f.Now, f.Wall
 	if n := f.Gate.Waiting; n > 0 && !j.Final() {
-		f.Within = p.guaranteed(tm, t)[t]
 		f.Places = make([]*gate.Place, len(p.fleet.order))
 		for i, sl := range p.fleet.order {
 			f.Places[i] = &sl.Place
@@ -54,13 +54,11 @@
 
 // copies are the fleet's slots to be tried on; lifted: as if no cordon were there.
 func (p *Placer) copies(lifted bool) []*slot {
-	free := make([]*slot, len(p.fleet.order))
-	for i, sl := range p.fleet.order {
-		c := *sl
-		c.Cordoned = c.Cordoned && !lifted
-		free[i] = &c
+	out := copied(p.fleet.order)
+	for _, sl := range out {
+		sl.Cordoned = sl.Cordoned && !lifted
 	}
-	return free
+	return out
 }
 
 // trialUncordoned is trial as it would be if no cordon were there.
@@ -120,55 +118,43 @@
 	most  int  // tasks that it would place if nothing came before it
 	n     int  // the same once work of its team before it has used its part of the limit
 	takes bool // its tasks fit where one task of the job does
+	may   bool // whether it takes any of the job's room cannot be told before
 }
 
-// lineWith is the order of service as it stands once no gate of this job itself is shut:
-// in its team's guarantee it then comes before later jobs.
-func (p *Placer) lineWith(t *table) []entryOf {
-	q := p.queue()
-	within := p.guaranteed(t.team, t)
+// lineWith lists the jobs that wait beside this one, in no order, as they stand once no
+// gate of this job itself is shut: in its team's guarantee it then comes before later jobs.
+func (p *Placer) lineWith(t *table) (q []entryOf, within bool) {
+	q = p.waiting()
+	mine := p.guaranteed(t.team, t)
 	for i := range q {
 		if q[i].t.team == t.team {
-			q[i].within = within[q[i].t]
+			q[i].within = mine[q[i].t]
 		}
 	}
-	slices.SortFunc(q, func(a, b entryOf) int {
-		switch {
-		case a.before(&b):
-			return -1
-		case b.before(&a):
-			return 1
-		}
-		return 0
-	})
-	return q
+	return slices.DeleteFunc(q, func(e entryOf) bool { return e.t == t }), mine[t]
 }
 
 // rivals lists the jobs that come before this one in the order, or would if no gate of
-// its own were shut, and what each would place if there were room. sure is false where
-// that cannot be told.
-func (p *Placer) rivals(t *table, within, limited, lifted bool, short int, types []wire.MachineType) (out []rival, sure bool) {
-	self := entryOf{t, within, t.turn()}
-	q := p.lineWith(t)
+// its own were shut, and what each would place if there were room.
+func (p *Placer) rivals(q []entryOf, self *entryOf, limited, lifted bool, short int, types []wire.MachineType) (out []rival) {
+	t := self.t
 	spoken := map[*team]agent.Room{}
-	sure = true
+	q = slices.DeleteFunc(slices.Clone(q), func(e entryOf) bool { return !e.before(self) || !p.meet(e.t.j.Spec, t.j.Spec, types, lifted) })
+	sort.Slice(q, func(a, b int) bool { return q[a].before(&q[b]) })
 	for i := range q {
 		o := q[i].t
-		if o == t || !q[i].before(&self) {
-			continue
-		}
 		n := p.missed(o)
 		if limited && o.team == t.team {
 			n = o.waiting() // it waits for the same limit
 		}
-		r := rival{o, min(n, p.probes(o)), 0, smaller(o.j.Spec, t.j.Spec)}
+		r := rival{t: o, most: min(n, p.probes(o)), takes: smaller(o.j.Spec, t.j.Spec)}
 		if r.n = r.most; !limited || o.team != t.team {
 			g := p.facts(o)
 			g.Used.CPUs += spoken[o.team].CPUs
 			g.Used.GPUs += spoken[o.team].GPUs
 			r.n = min(r.n, g.Passes(gate.Limit))
 		}
-		if r.most <= 0 || !p.meet(o.j.Spec, t.j.Spec, types, lifted) {
+		if r.most <= 0 {
 			continue
 		}
 		if o.j.Spec.Gang {
@@ -181,7 +167,7 @@
 				r.n = 0
 			}
 			if r.most > short {
-				sure, r.takes = sure && short == 0, false
+				r.may, r.takes = r.may || short > 0, false
 			}
 		}
 		if !r.takes && !limited && !lifted {
@@ -191,7 +177,7 @@
 		spoken[o.team] = agent.Room{CPUs: spoken[o.team].CPUs + float64(r.n)*o.j.Spec.CPUs, GPUs: spoken[o.team].GPUs + float64(r.n)*o.j.Spec.GPUs}
 		out = append(out, r)
 	}
-	return out, sure
+	return out
 }
 
 // ahead tells which work would take the room that this job lacks, or has now but for its
@@ -201,86 +187,120 @@
 	limited := f.Gate.Passes(gate.Limit) < n
 	short := n - f.FitsAll                                   // rooms for one task each that must come
 	lifted := f.FitsAll > f.Fits || (f.Barred && f.Fits < n) // a cordon is among its reasons
-	all, sure := p.rivals(t, f.Within, limited, lifted, short, types)
-	coming, cut := 0, false
+	q, within := p.lineWith(t)
+	self := entryOf{t, within, t.turn()}
+	all := p.rivals(q, &self, limited, lifted, short, types)
+	coming := 0
 	for _, r := range all {
 		if r.takes {
 			coming += r.n
 		}
-		cut = cut || r.n < r.most
 	}
-	f.Behind, f.Sure = min(short, coming), sure && (coming > 0 || !cut)
-	least := map[*table]bool{}
+	if f.Within = within; short == 0 && !limited && !lifted {
+		return // there is room that work before it has missed
+	}
+	f.Behind, f.Exact = min(short, coming), true
 	// What is shut for others too may be open for them when it is for this job: the
 	// team's limit, and cordons. They then go first to the room that is there.
 	if limited || lifted {
-		f.Sure = sure && len(all) <= mostBefore
-		there, later := p.copies(lifted), p.copies(lifted)
-		left, first := 0, short // what comes, if the room there is taken first, or last
-		var by [2]agent.Room    // what this team's other jobs use of its limit then
-		for i, r := range all {
-			if i >= mostBefore {
-				break
-			}
-			got := p.takeAll(r, r.n, there)
-			// It may also take what work before it leaves.
-			least[r.t] = got > 0 || p.takeAll(r, r.most, p.copies(lifted)) > 0
-			use := [2]int{got, 0}
-			if r.takes {
-				left += r.n - got
-				use[1] = min(first, r.n)
-				first -= use[1]
-			}
-			use[1] += p.takeAll(r, r.n-use[1], later)
-			if r.t.team == t.team && !limited {
-				for i, k := range use {
-					by[i].CPUs += float64(k) * r.t.j.Spec.CPUs
-					by[i].GPUs += float64(k) * r.t.j.Spec.GPUs
-				}
-			}
+		f.Sure = len(all) <= mostBefore
+		a, b := p.behind(f, t, all[:min(len(all), mostBefore)], limited, lifted, short)
+		// Which machine takes what then matters: it cannot be told for certain.
+		f.Behind, f.Exact = min(a, b), false
+		if f.Behind == 0 {
+			f.Behind = max(a, b)
 		}
-		g := f.Gate
-		var most [2]int
-		for i := range most {
-			g.Used = agent.Room{CPUs: f.Gate.Used.CPUs + by[i].CPUs, GPUs: f.Gate.Used.GPUs + by[i].GPUs}
-			if most[i] = n; !limited {
-				most[i] = g.Passes(gate.Limit)
-			}
+	}
+	maybe := 0
+	for _, r := range all {
+		if r.n < r.most || r.may {
+			f.Exact = false
+			maybe += r.most
 		}
-		a := n - min(p.trial(t, n, there)+max(short-left, 0), most[0])
-		b := n - min(p.trial(t, n, later)+first, most[1])
-		f.Behind = max(min(a, b), 0)
-		// The two differ where it matters which machine takes what: then more may wait.
-		f.Sure = f.Sure && !cut && max(a, 0) == max(b, 0)
+	}
+	if f.Behind == 0 {
+		f.Behind = min(n, maybe)
+	}
+	if !limited && !lifted && coming >= short {
+		f.Exact = true
 	}
 	if f.Behind == 0 {
 		return
 	}
-	for _, r := range all {
-		if r.takes || least[r.t] {
+	for _, r := range append(all, p.promoted(q, &self, all, types)...) {
+		if r.takes || r.may || r.n < r.most {
 			f.Ahead = append(f.Ahead, explain.Ahead{Job: r.t.j.ID, Team: r.t.team.cfg.Name, Priority: explain.PriorityName(r.t.j.Spec.Priority),
 				Tasks: r.most, CPUs: float64(r.most) * r.t.j.Spec.CPUs})
 		}
 	}
-	f.Sure = f.Sure && !p.promoted(f, t, all, types)
 }
 
-// promoted tells whether some job that stands behind would come within its team's
+// behind tries how many of the job's tasks lack room once its rivals have theirs: a if
+// they take the room there first, b if they take what comes first.
+func (p *Placer) behind(f *explain.Facts, t *table, all []rival, limited, lifted bool, short int) (a, b int) {
+	n := f.Gate.Waiting
+	there, later, fresh := p.copies(lifted), p.copies(lifted), p.fleet.order
+	if lifted {
+		fresh = p.copies(true)
+	}
+	left, first := 0, short // what comes, if the room there is taken first, or last
+	var by [2]agent.Room    // what this team's other jobs use of its limit then
+	for i := range all {
+		r := &all[i]
+		if !lifted && r.t.team != t.team {
+			// Nothing is open to it that was not: it missed what is there.
+			if r.takes {
+				left, first = left+r.n, first-min(first, r.n)
+			}
+			continue
+		}
+		got := p.takeAll(*r, r.n, there)
+		use := [2]int{got, 0}
+		if r.takes {
+			left += r.n - got
+			use[1] = min(first, r.n)
+			first -= use[1]
+		}
+		use[1] += p.takeAll(*r, r.n-use[1], later)
+		// It may also take what work before it leaves.
+		r.may = r.may || got > 0 || use[1] > 0 || p.trial(r.t, r.most, fresh) > 0
+		if r.t.team == t.team && !limited {
+			for i, k := range use {
+				by[i].CPUs += float64(k) * r.t.j.Spec.CPUs
+				by[i].GPUs += float64(k) * r.t.j.Spec.GPUs
+			}
+		}
+	}
+	g := f.Gate
+	var most [2]int
+	for i := range most {
+		g.Used = agent.Room{CPUs: f.Gate.Used.CPUs + by[i].CPUs, GPUs: f.Gate.Used.GPUs + by[i].GPUs}
+		if most[i] = n; !limited {
+			most[i] = g.Passes(gate.Limit)
+		}
+	}
+	a = n - min(p.trial(t, n, there)+max(short-left, 0), most[0])
+	b = n - min(p.trial(t, n, later)+first, most[1])
+	return max(a, 0), max(b, 0)
+}
+
+// promoted lists the jobs that stand behind and would come within their team's
 // guarantee, and so before this one, when the work ahead is gone.
-func (p *Placer) promoted(f *explain.Facts, t *table, ahead []rival, types []wire.MachineType) bool {
-	self := entryOf{t, f.Within, t.turn()}
-	q := p.lineWith(t)
-	for i := range q {
-		o := q[i]
-		if o.t == t || o.within || o.before(&self) || !p.meet(o.t.j.Spec, t.j.Spec, types, true) {
+func (p *Placer) promoted(q []entryOf, self *entryOf, ahead []rival, types []wire.MachineType) (out []rival) {
+	teams := map[*team]bool{}
+	for _, r := range ahead {
+		teams[r.t.team] = true
+	}
+	for _, o := range q {
+		if o.within || !teams[o.t.team] || o.before(self) {
 			continue
 		}
 		o.within = true
-		if o.before(&self) && slices.ContainsFunc(ahead, func(r rival) bool { return r.t.team == o.t.team }) {
-			return true
+		if o.before(self) && p.meet(o.t.j.Spec, self.t.j.Spec, types, true) {
+			out = append(out, rival{t: o.t, most: o.t.waiting(), may: true})
 		}
 	}
-	return false
+	return out
 }
 
 // takeAll takes room for a rival's tasks on copies of the slots; a gang takes all or none.
--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -37,6 +37,13 @@
 
 // queue lists the jobs with waiting tasks in the order in which they are served.
 func (p *Placer) queue() []entryOf {
+	q := p.waiting()
+	sort.Slice(q, func(a, b int) bool { return q[a].before(&q[b]) })
+	return q
+}
+
+// waiting lists the jobs with waiting tasks in no order.
+func (p *Placer) waiting() []entryOf {
 	var q []entryOf
 	for _, tm := range p.teams {
 		if !tm.loaded {
@@ -52,7 +59,6 @@
 			}
 		}
 	}
-	sort.Slice(q, func(a, b int) bool { return q[a].before(&q[b]) })
 	return q
 }
 
@@ -248,20 +254,30 @@
 
 // trial tells how many of n more tasks of the job find room now, placing none.
 func (p *Placer) trial(t *table, n int, slots []*slot) int {
-	trial := make([]*slot, len(slots))
+	return p.takeRanked(t, n, copied(p.ranked(t, slots)))
+}
+
+// copied are slots to be tried on.
+func copied(slots []*slot) []*slot {
+	room := make([]slot, len(slots))
+	out := make([]*slot, len(slots))
 	for i, sl := range slots {
-		c := *sl
-		trial[i] = &c
+		room[i] = *sl
+		out[i] = &room[i]
 	}
-	return p.take(t, n, trial)
+	return out
 }
 
 // take takes the room for up to n tasks of the job on copies of the slots.
-func (p *Placer) take(t *table, n int, trial []*slot) int {
+func (p *Placer) take(t *table, n int, slots []*slot) int {
+	return p.takeRanked(t, n, p.ranked(t, slots))
+}
+
+func (p *Placer) takeRanked(t *table, n int, slots []*slot) int {
 	need := t.need()
 	need.Zones = maps.Clone(t.zones)
 	got := 0
-	for _, sl := range p.ranked(t, trial) {
+	for _, sl := range slots {
 		for got < n && sl.Takes(&need) {
 			sl.Room.Take(need.Spec)
 			need.Zones[sl.V.Zone]++
--- /dev/null
+++ b/internal/placer/why_bench_test.go
@@ -0,0 +1,54 @@
+package placer
+
+import (
+	"fmt"
+	"testing"
+
+	"cleatpick/internal/agent"
+	"cleatpick/internal/config"
+	"cleatpick/internal/cordon"
+	"cleatpick/internal/explain"
+	"cleatpick/internal/job"
+	"cleatpick/internal/loop"
+	"cleatpick/internal/wire"
+)
+
+// BenchmarkWhy gathers and judges one explanation on an owner with 700 full machines and
+// 5,000 waiting tasks in 500 jobs: for the last in line, behind everything; the same with
+// a cordon, which lets the rivals be tried on the fleet; and for one beyond its limit.
+func BenchmarkWhy(b *testing.B) {
+	g := newRig(100, config.Team{Name: "red", CPUs: 100, CPUsMax: 9000}, config.Team{Name: "blue", CPUs: 0, CPUsMax: 6})
+	for i := range 700 {
+		id := g.job(10000+i, job.Spec{Class: "f", Team: "green", Tasks: 8, CPUs: 2, MemoryGB: 4, Image: "f", AnyType: true})
+		var on []agent.Task
+		for k := range 8 {
+			on = append(on, agent.Task{Task: agent.TaskName(id, k), Attempt: 1, State: wire.TaskRunning})
+		}
+		g.show(fmt.Sprintf("n-%06d", i), "m16", []string{"x", "y"}[i%2], i%3 == 0, on...)
+	}
+	for i := range 500 {
+		team := "red"
+		if i%100 == 99 {
+			team = "blue"
+		}
+		g.job(i, job.Spec{Class: "k", Team: team, Priority: job.Priority(i % 3), Tasks: 10, CPUs: 2, MemoryGB: 3, Image: "i", AnyType: true, Spot: true, Estimate: loop.Second})
+	}
+	g.p.place()
+	all := []wire.MachineType{types["m8"], types["m16"]}
+	one := func(b *testing.B, id, kind string) {
+		for b.Loop() {
+			f, ok := g.p.Facts(id, all, true)
+			if !ok {
+				b.Fatal("no facts")
+			}
+			if r := explain.Judge(f); len(r) == 0 || r[0].Kind != kind {
+				b.Fatalf("%s has no reason %s", id, kind)
+			}
+		}
+	}
+	b.Run("last", func(b *testing.B) { one(b, "job-000498", "room") })
+	b.Run("limited", func(b *testing.B) { one(b, "job-000399", "teamLimit") })
+	g.mirror.Apply(cordon.Key, wire.Marshal(map[string]any{"f": 1, "c": []cordon.Cordon{{Name: "c", Zone: "x", Reason: "r"}}}), g.state.Put(cordon.Key, 0), false)
+	g.p.place()
+	b.Run("cordoned", func(b *testing.B) { one(b, "job-000498", "room") })
+}
