--- a/cmd/cleatpick/show.go
+++ b/cmd/cleatpick/show.go
@@ -158,12 +158,12 @@
 	for i := range a.Reasons {
 		showReason(w, &a.Reasons[i])
 	}
-	if len(a.Timeline.Spans) > 0 {
+	if len(a.Timeline) > 0 {
 		fmt.Fprintln(w, "  before:")
-		if a.Timeline.Dropped > 0 {
-			fmt.Fprintf(w, "    (%d older causes are not kept)\n", a.Timeline.Dropped)
+		if a.TimelineDropped > 0 {
+			fmt.Fprintf(w, "    (%d older causes are not kept)\n", a.TimelineDropped)
 		}
-		for _, s := range a.Timeline.Spans {
+		for _, s := range a.Timeline {
 			end := "now"
 			if s.To != nil {
 				end = clock(*s.To)
@@ -176,6 +176,24 @@
 	}
 }
 
+// needs says in words what a task asks of its machine.
+func needs(n *explain.Needs) string {
+	out := fmt.Sprintf("%g CPUs, %g GB", n.CPUs, n.MemoryGB)
+	if n.GPUs > 0 {
+		out += fmt.Sprintf(", %g GPUs", n.GPUs)
+	}
+	if len(n.Types) > 0 {
+		out += ", type " + strings.Join(n.Types, " or ")
+	}
+	if n.Zone != "" {
+		out += ", zone " + n.Zone
+	}
+	if !n.Spot {
+		out += ", an ordinary machine"
+	}
+	return out
+}
+
 func showReason(w io.Writer, r *explain.Reason) {
 	fmt.Fprintf(w, "  %s (%s): %d tasks", r.Kind, r.State, r.Tasks)
 	if r.Since != nil {
@@ -196,7 +214,7 @@
 		fmt.Fprintf(w, "    team %s uses %g CPUs of %g at most, %g guaranteed\n", d.Team.Team, d.Team.CPUs, d.Team.CPUsMax, d.Team.CPUsHave)
 	}
 	if d.Needs != nil {
-		fmt.Fprintf(w, "    each task needs %g CPUs, %g GB\n", d.Needs.CPUs, d.Needs.MemoryGB)
+		fmt.Fprintf(w, "    each task needs %s\n", needs(d.Needs))
 	}
 	if m := d.Machines; m != nil {
 		fmt.Fprintf(w, "    %d machines looked at\n", m.Looked)
@@ -211,7 +229,7 @@
 	if s := d.Renting; s != nil {
 		fmt.Fprintf(w, "    renting: %s\n", s.State)
 		for _, b := range s.Booting {
-			fmt.Fprintf(w, "      %d x %s %s %s boot, the oldest for %s of %s\n", b.Count, b.Type, b.Zone, b.Kind, span(b.Age), span(b.Nominal))
+			fmt.Fprintf(w, "      %d x %s %s %s boot, the oldest for %s (nominal %s)\n", b.Count, b.Type, b.Zone, b.Kind, span(b.Age), span(b.Nominal))
 		}
 		for _, o := range s.Refused {
 			fmt.Fprintf(w, "      %s %s %s refused until %s\n", o.Type, o.Zone, o.Kind, clock(*o.Until))
--- a/internal/explain/answer.go
+++ b/internal/explain/answer.go
@@ -46,18 +46,22 @@
 
 // Answer is why a job's tasks do not run.
 type Answer struct {
-	Job      string   `json:"job"`
-	Standing string   `json:"standing"`
-	AsOf     Time     `json:"asOf"`
-	Tasks    int      `json:"tasks"`
-	Waiting  int      `json:"waiting"`
-	Running  int      `json:"running"`
-	Done     int      `json:"done"`
-	Owner    string   `json:"owner,omitempty"` // the controller that owns its team
-	Reasons  []Reason `json:"reasons"`
-	Timeline Timeline `json:"timeline"`
-	Complete bool     `json:"complete"`
-	Missing  []string `json:"missing,omitempty"` // what could not be asked
+	Job      string    `json:"job"`
+	Standing string    `json:"standing"`
+	AsOf     Time      `json:"asOf"`
+	Tasks    int       `json:"tasks"`
+	Waiting  int       `json:"waiting"`
+	Running  int       `json:"running"`
+	Done     int       `json:"done"`
+	Owner    string    `json:"owner,omitempty"` // the controller that owns its team
+	Reasons  []Reason  `json:"reasons"`
+	Timeline []Stretch `json:"timeline"`
+	// What was before TimelineFrom is not known to the owner; TimelineDropped counts
+	// stretches after it that were dropped as the oldest.
+	TimelineFrom    *Time    `json:"timelineFrom,omitempty"`
+	TimelineDropped int      `json:"timelineDropped,omitempty"`
+	Complete        bool     `json:"complete"`
+	Missing         []string `json:"missing,omitempty"` // what could not be asked
 }
 
 // Reason is one cause that keeps tasks from running. Each of a job's reasons by itself
@@ -220,6 +224,14 @@
 	From    *Time     `json:"from,omitempty"`    // what was before is not known here
 }
 
+// tells puts the timeline into an answer.
+func (a *Answer) tells(t Timeline) {
+	a.Timeline, a.TimelineFrom, a.TimelineDropped = t.Spans, t.From, t.Dropped
+	if a.Timeline == nil {
+		a.Timeline = []Stretch{}
+	}
+}
+
 // Stretch is the time for which one cause held.
 type Stretch struct {
 	Kind  string `json:"kind"`
--- a/internal/explain/desk.go
+++ b/internal/explain/desk.go
@@ -145,9 +145,10 @@
 			done(nil, code)
 			return
 		}
-		a := &Answer{Job: id, AsOf: Time(d.r.Wall()), Tasks: j.Tasks, Reasons: []Reason{}, Complete: true, Timeline: Timeline{Spans: []Stretch{}}}
+		a := &Answer{Job: id, AsOf: Time(d.r.Wall()), Tasks: j.Tasks, Reasons: []Reason{}, Complete: true, Timeline: []Stretch{}}
 		if j.Final() || j.Spec == nil {
-			a.Standing, a.Timeline = PhaseName(j.Phase), d.Lines.Of(id)
+			a.Standing = PhaseName(j.Phase)
+			a.tells(d.Lines.Of(id))
 			if j.Phase == job.Done {
 				a.Done = j.Tasks
 			}
@@ -167,7 +168,7 @@
 		a.Done, a.Running = int(c.Done), int(c.Running)
 		a.Waiting = max(a.Tasks-a.Done-a.Running, 0)
 		a.Standing = standing(a)
-		a.Timeline = d.Lines.Of(j.ID)
+		a.tells(d.Lines.Of(j.ID))
 		if k != 0 {
 			r := Reason{Kind: k.String(), Tasks: a.Waiting, State: state, Release: release, BlockedBy: []string{}}
 			if since := d.Lines.Since(j.ID, k); since != 0 {
@@ -198,7 +199,8 @@
 			done()
 			return
 		}
-		a.Waiting, a.Running, a.Done, a.Timeline = w.Waiting, w.Running, w.Done, w.Timeline
+		a.Waiting, a.Running, a.Done = w.Waiting, w.Running, w.Done
+		a.tells(w.Timeline)
 		a.Standing = standing(a)
 		if !w.Sure {
 			a.Complete = false
--- a/internal/explain/facts.go
+++ b/internal/explain/facts.go
@@ -166,6 +166,10 @@
 	if short > 0 {
 		r := add(kind, short)
 		r.State, r.Release = "noRoom", "tasks end, or a machine that allows the job comes up"
+		if !f.Within {
+			// Work within its guarantee may stop what others run beyond theirs.
+			r.State = "nothingToBorrow"
+		}
 		if kind == gate.Gang {
 			r.State, r.Release = "notAllAtOnce", "there is room for all of its tasks at once"
 			if f.Gate.InUse > 0 {
--- a/internal/node/why_test.go
+++ b/internal/node/why_test.go
@@ -254,7 +254,7 @@
 		t.Errorf("a job that runs is explained by %s", reasonsOf(full))
 	}
 	var kinds []string
-	for _, s := range full.Timeline.Spans {
+	for _, s := range full.Timeline {
 		kinds = append(kinds, s.Kind)
 	}
 	if !slices.Contains(kinds, "room") || !slices.Contains(kinds, "fetching") {
@@ -284,7 +284,7 @@
 	all := c.reason("job-000004", "hold", func(_ *explain.Answer, r *explain.Reason) bool {
 		return r.State == "held" && r.Detail.Hold.Reason == p.HoldReason && r.Detail.Hold.By == "the operate key"
 	})
-	if got, want := reasonsOf(all), "hold/held:5 dependency/waiting:5 teamLimit/full:2 room/noRoom:5 rank/mayBeBehind:5"; got != want {
+	if got, want := reasonsOf(all), "hold/held:5 dependency/waiting:5 teamLimit/full:2 room/nothingToBorrow:5 rank/mayBeBehind:5"; got != want {
 		t.Errorf("the reasons are %s, want %s", got, want)
 	}
 	c.must(200, 0, "POST", "/v1/jobs/job-000004/release", nil, nil)
@@ -351,7 +351,7 @@
 		p := proposal(10, "red", 1)
 		p.Hold, p.HoldReason = true, "kept"
 		c.must(201, 2, "POST", "/v1/jobs", p, nil)
-		told := c.reason("job-000010", "hold", func(a *explain.Answer, _ *explain.Reason) bool { return len(a.Timeline.Spans) > 0 })
+		told := c.reason("job-000010", "hold", func(a *explain.Answer, _ *explain.Reason) bool { return len(a.Timeline) > 0 })
 		owner, before := told.Owner, told.Timeline
 		c.until("the peers know the timeline", func() bool {
 			var q api.Jobs
@@ -372,11 +372,11 @@
 			if code == 200 && !a.Complete && len(a.Missing) == 0 {
 				t.Error("an answer that is not complete does not say what is missing")
 			}
-			return code == 200 && a.Complete && a.Owner != owner && len(a.Timeline.Spans) > 0 && strings.Contains(reasonsOf(&a), "hold/held:1")
+			return code == 200 && a.Complete && a.Owner != owner && len(a.Timeline) > 0 && strings.Contains(reasonsOf(&a), "hold/held:1")
 		})
 		// The peers followed the timeline, so that it did not begin anew.
-		if a.Timeline.Spans[0].From != before.Spans[0].From {
-			t.Errorf("the timeline was %v, and is %v at the next owner", before.Spans, a.Timeline.Spans)
+		if a.Timeline[0].From != before[0].From {
+			t.Errorf("the timeline was %v, and is %v at the next owner", before, a.Timeline)
 		}
 	})
 }
--- a/internal/placer/terms_test.go
+++ b/internal/placer/terms_test.go
@@ -118,3 +118,51 @@
 		}
 	}
 }
+
+// A hold that ends at a time of day ends by itself, and not before every clock agrees.
+func TestHoldUntil(t *testing.T) {
+	g := newRig(100, config.Team{Name: "red", CPUs: 50, CPUsMax: 50})
+	g.p.cfg.Cluster.ClockOffMS = 500
+	g.show("n-001", "m8", "x", false)
+	spec := job.Spec{Class: "k", Team: "red", Tasks: 1, CPUs: 1, MemoryGB: 1, Image: "i", AnyType: true, Estimate: loop.Second}
+	until := g.Wall() + 4*loop.Second
+	g.book.Propose("job-000001", &spec, &job.Terms{Hold: job.Hold{State: job.HoldSet, Until: until}}, func(job.Answer) {})
+	for g.Wall() < until+900*loop.Millisecond {
+		g.Run(100 * loop.Millisecond)
+		g.show("n-001", "m8", "x", false)
+	}
+	if len(g.starts) != 0 {
+		t.Fatalf("%v went out before the hold had ended by every clock", g.starts)
+	}
+	g.Run(1500 * loop.Millisecond)
+	if len(g.starts) == 0 {
+		t.Fatal("nothing started after the hold had ended")
+	}
+}
+
+// Whose tasks are stopped learns for which job, whoever stopped them.
+func TestStoppedForWhom(t *testing.T) {
+	g := newRig(100, config.Team{Name: "red", CPUs: 8, CPUsMax: 50}, config.Team{Name: "blue", CPUs: 8, CPUsMax: 50})
+	g.p.n.Tells = true
+	g.show("n-001", "m8", "x", false)
+	spec := job.Spec{Class: "k", Team: "red", Priority: job.Low, Tasks: 2, CPUs: 4, MemoryGB: 1, Image: "i", AnyType: true, Estimate: loop.Second, Checkpoint: loop.Second, Save: 5 * loop.Second}
+	low := g.job(1, spec)
+	g.Run(500 * loop.Millisecond)
+	var on []agent.Task
+	for i := range 2 {
+		on = append(on, agent.Task{Task: agent.TaskName(low, i), Attempt: 1, State: wire.TaskRunning})
+	}
+	g.show("n-001", "m8", "x", false, on...)
+	g.Run(2 * loop.Second)
+	spec.Team, spec.Priority, spec.Tasks = "blue", job.High, 1
+	high := g.job(2, spec)
+	g.Run(500 * loop.Millisecond)
+	for i := range on {
+		on[i].State = wire.TaskSaving
+	}
+	g.show("n-001", "m8", "x", false, on...)
+	f, ok := g.p.Facts(low, nil, true)
+	if !ok || len(f.Flights) != 1 || f.Flights[0].For != high || f.Stopped["n-001"] != high {
+		t.Fatalf("the facts of the job that was stopped are %+v, want that it saves for %s", f, high)
+	}
+}
