Causes are told again every 5 s: a peer dropped what it heard before the job's record

Cause: a peer ignored the causes of a job whose record had not reached it yet, and was never told again, so its lists and its copy of the timeline stayed empty (found by the loopback test under load). Change: owners tell every unfinished job's causes again after 5 s.

--- a/internal/placer/explain.go
+++ b/internal/placer/explain.go
@@ -213,8 +213,12 @@
 	return out
 }
 
+// tellAgain is after how long causes are told once more: a frame may be lost, and a peer
+// drops what it hears of a job whose record has not reached it yet.
+const tellAgain = 5 * loop.Second
+
 // newCauses brings a job's causes up to date, and tells whether they differ in kind, or
-// by half in number, from those last told.
+// by half in number, from those last told, or are to be told again.
 func (p *Placer) newCauses(t *table, after, wall loop.Micros) bool {
 	var room [gate.Recheck]gate.Cause
 	now := p.causes(t, room[:0], after, wall)
@@ -223,10 +227,10 @@
 		a, b := now[i], t.causes[i]
 		same = a.Kind == b.Kind && 2*a.Tasks <= 3*b.Tasks && 2*b.Tasks <= 3*a.Tasks
 	}
-	if same && t.toldCauses {
+	if same && wall-t.toldAt < tellAgain {
 		return false
 	}
-	t.toldCauses = true
+	t.toldAt = wall
 	t.causes = slices.Clone(now)
 	return true
 }
--- a/internal/placer/table.go
+++ b/internal/placer/table.go
@@ -50,30 +50,30 @@
 func (t *task) inUse() bool { return t.state == Recording || t.state == Placed }
 
 type table struct {
-	j          *job.Job
-	team       *team
-	blocks     []*[blockSize]task
-	next       int   // this task and all above it were never touched
-	back       []int // tasks to be placed again
-	inUse      int
-	completed  int // ended or completed
-	recorded   int // completed
-	running    int
-	zones      map[string]int // tasks in use by zone
-	closing    bool           // the job's completion is being stored
-	failedOn   map[string]bool
-	failures   int
-	holdOff    loop.Micros // it failed everywhere, and rests until then
-	damaged    bool        // a record of its tasks cannot be read
-	amendAt    loop.Micros // its record is not amended again before
-	short      gate.Kind   // by which gate of the machines its tasks found no room in the newest pass; 0: none
-	shortAt    loop.Micros
-	stopped    map[string]string // by machine: the job for which tasks of it were stopped
-	causes     []gate.Cause      // as last told
-	toldCauses bool
-	missing    loop.Micros // since when tasks of it find no room; 0: none does
-	toldDone   int64
-	toldRun    int64
+	j         *job.Job
+	team      *team
+	blocks    []*[blockSize]task
+	next      int   // this task and all above it were never touched
+	back      []int // tasks to be placed again
+	inUse     int
+	completed int // ended or completed
+	recorded  int // completed
+	running   int
+	zones     map[string]int // tasks in use by zone
+	closing   bool           // the job's completion is being stored
+	failedOn  map[string]bool
+	failures  int
+	holdOff   loop.Micros // it failed everywhere, and rests until then
+	damaged   bool        // a record of its tasks cannot be read
+	amendAt   loop.Micros // its record is not amended again before
+	short     gate.Kind   // by which gate of the machines its tasks found no room in the newest pass; 0: none
+	shortAt   loop.Micros
+	stopped   map[string]string // by machine: the job for which tasks of it were stopped
+	causes    []gate.Cause      // as last told
+	toldAt    loop.Micros       // time of day at which they were told; 0: never by this owner
+	missing   loop.Micros       // since when tasks of it find no room; 0: none does
+	toldDone  int64
+	toldRun   int64
 }
 
 type team struct {
