Causes are told again less often; an empty store's first change was missed by mirrors

A new test of cordons found that a mirror of an empty state service began at revision 1 and so never saw the very first change, unless its own node made it. Change: causes are told again twice, then every 30 s while there are any; the mirror begins at the tally that it read.

--- /dev/null
+++ b/internal/client/client_test.go
@@ -0,0 +1,107 @@
+package client
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// endpoint answers each request with the next of its answers, and the last for good.
+func endpoint(t *testing.T, answers ...func(*fasthttp.RequestCtx)) string {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := 0
+	go fasthttp.Serve(ln, func(ctx *fasthttp.RequestCtx) {
+		answers[min(n, len(answers)-1)](ctx)
+		n++
+	})
+	t.Cleanup(func() { ln.Close() })
+	return ln.Addr().String()
+}
+
+func closed(t *testing.T) string {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+func busy(after string) func(*fasthttp.RequestCtx) {
+	return func(ctx *fasthttp.RequestCtx) {
+		ctx.Response.Header.Set("Retry-After", after)
+		ctx.SetStatusCode(503)
+		ctx.SetBodyString(`{"type":"urn:x","title":"busy","status":503}`)
+	}
+}
+
+func fine(ctx *fasthttp.RequestCtx) {
+	fmt.Fprintf(ctx, `{"auth":%q}`, ctx.Request.Header.Peek("Authorization"))
+}
+
+// Endpoints are tried in turn; after a round of refusals the longest Retry-After is
+// waited for; an answer that is a plain no is final.
+func TestEndpointsInTurn(t *testing.T) {
+	no := func(ctx *fasthttp.RequestCtx) {
+		ctx.SetStatusCode(404)
+		ctx.SetBodyString(`{"type":"urn:x","title":"no such job","status":404,"detail":"job-9","field":"/id"}`)
+	}
+	for _, c := range []struct {
+		what      string
+		endpoints []string
+		waits     string
+		fails     string
+	}{
+		{"the second answers", []string{closed(t), endpoint(t, fine)}, "[]", ""},
+		{"both are busy once", []string{endpoint(t, busy("2"), fine), endpoint(t, busy("3"), fine)}, "[3s]", ""},
+		{"a no is final", []string{endpoint(t, no), endpoint(t, fine)}, "[]", "no such job: job-9 (/id)"},
+		{"always busy", []string{endpoint(t, busy("400"))}, "[]", "busy"},
+		{"no /v1/ there", []string{endpoint(t, func(ctx *fasthttp.RequestCtx) { ctx.SetStatusCode(404); ctx.SetBodyString("\xa1") })}, "[]", "does not serve /v1/"},
+	} {
+		cl, err := New(strings.Join(c.endpoints, ","), "secret")
+		if err != nil {
+			t.Fatal(err)
+		}
+		var waits []time.Duration
+		cl.sleep = func(d time.Duration) { waits = append(waits, d) }
+		var out struct{ Auth string }
+		err = cl.Call("GET", "/v1/x", nil, &out)
+		if c.fails == "" && (err != nil || out.Auth != "Bearer secret") {
+			t.Errorf("%s: %v, %q", c.what, err, out.Auth)
+		}
+		if c.fails != "" && (err == nil || !strings.Contains(err.Error(), c.fails)) {
+			t.Errorf("%s: %v, want %q", c.what, err, c.fails)
+		}
+		if fmt.Sprint(waits) != c.waits {
+			t.Errorf("%s: waited %v, want %s", c.what, waits, c.waits)
+		}
+	}
+}
+
+func TestMisuse(t *testing.T) {
+	for _, list := range []string{"", " , ", "nowhere", "10.0.0.1"} {
+		if _, err := New(list, ""); err == nil {
+			t.Errorf("%q is taken for a list of endpoints", list)
+		}
+	}
+	file := filepath.Join(t.TempDir(), "key")
+	if _, err := ReadKey(file); !errors.Is(err, os.ErrNotExist) {
+		t.Errorf("a missing key file gives %v", err)
+	}
+	if err := os.WriteFile(file, []byte(" abc\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if key, err := ReadKey(file); key != "abc" || err != nil {
+		t.Errorf("the key is %q, %v", key, err)
+	}
+}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -82,3 +82,28 @@
 		t.Errorf("a lease of 0.1 s gives %v", err)
 	}
 }
+
+// The files that the repository ships are sound, and a key's fault is named by its place.
+func TestAPISection(t *testing.T) {
+	for _, file := range []string{"operator.toml", "service-operator.toml"} {
+		c, err := Load(write(t, sound), filepath.Join("..", "..", "deploy", file))
+		if err != nil || !c.Operator.API.Enabled {
+			t.Errorf("%s: %v, enabled %v", file, err, c != nil && c.Operator.API.Enabled)
+		}
+	}
+	hash := strings.Repeat("ab", 32)
+	key := func(name, role, hash string) string {
+		return "[[api.keys]]\nname = \"" + name + "\"\nrole = \"" + role + "\"\nsha256 = \"" + hash + "\"\n"
+	}
+	for _, x := range []struct{ file, names string }{
+		{key("a", "read", hash) + key("a", "submit", hash), "api.keys[1].name"},
+		{key("", "read", hash), "api.keys[0].name"},
+		{key("a", "root", hash), "api.keys[0].role"},
+		{key("a", "read", hash[1:]), "api.keys[0].sha256"},
+		{key("a", "read", "zz"+hash[2:]), "api.keys[0].sha256"},
+	} {
+		if _, err := Load(write(t, sound), write(t, x.file)); err == nil || !strings.Contains(err.Error(), x.names) {
+			t.Errorf("%q gives %v, want it to name %q", x.file, err, x.names)
+		}
+	}
+}
--- /dev/null
+++ b/internal/cordon/cordon_test.go
@@ -0,0 +1,151 @@
+package cordon
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"maps"
+	"slices"
+	"testing"
+
+	"cleatpick/internal/loop"
+	"cleatpick/internal/standin"
+	"cleatpick/internal/store"
+
+	"pgregory.net/rapid"
+)
+
+const clockTo = 200 * loop.Millisecond
+
+// office is some books over one state service, each with its own mirror.
+type office struct {
+	*standin.Stepped
+	state   *standin.State
+	books   []*Book
+	mirrors []*store.Mirror
+}
+
+func newOffice(n int) *office {
+	o := &office{Stepped: standin.NewStepped(1000 * loop.Second)}
+	o.state = standin.NewState(func() loop.Micros { return o.Now() })
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	for range n {
+		c := store.NewClient(o, o.state, log, 1e4, 1e4, 1)
+		m := store.NewMirror(c, o.state, "c/")
+		o.books = append(o.books, NewBook(o, c, m, log, clockTo))
+		o.mirrors = append(o.mirrors, m)
+		m.Start()
+	}
+	o.Run(loop.Second)
+	return o
+}
+
+func names(b *Book) (out []string) {
+	for _, c := range b.All() {
+		out = append(out, c.Name+":"+c.Reason)
+	}
+	return out
+}
+
+// Operators change cordons at several nodes at once: no change that was told as stored
+// gets lost, and all nodes come to the same list, which a plain map of them knows too.
+func TestBooksAgreeWithAPlainMap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		o := newOffice(3)
+		type change struct {
+			c    Cordon
+			drop bool
+		}
+		plain := map[string]string{}
+		var open []change
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			b := o.books[rapid.IntRange(0, 2).Draw(t, "node")]
+			c := Cordon{Name: fmt.Sprint("c", rapid.IntRange(0, 4).Draw(t, "name")), Zone: "x", Reason: fmt.Sprint("r", rapid.IntRange(0, 99).Draw(t, "reason"))}
+			// Two changes of one name at once may come in either order: one at a time.
+			if slices.ContainsFunc(open, func(x change) bool { return x.c.Name == c.Name }) {
+				o.Run(2 * loop.Second)
+				open = nil
+			}
+			x := change{c, rapid.IntRange(0, 2).Draw(t, "drop") == 0}
+			open = append(open, x)
+			told := func(out Outcome) {
+				switch {
+				case out == Stored && x.drop:
+					delete(plain, x.c.Name)
+				case out == Stored:
+					plain[x.c.Name] = x.c.Reason
+				case out == Absent && plain[x.c.Name] != "":
+					t.Fatalf("%s is called absent", x.c.Name)
+				}
+			}
+			if x.drop {
+				b.Remove(c.Name, told)
+			} else {
+				b.Put(c, told)
+			}
+			o.Run(loop.Micros(rapid.IntRange(0, 40).Draw(t, "ms")) * loop.Millisecond)
+		}
+		o.Run(30 * loop.Second)
+		var want []string
+		for _, n := range slices.Sorted(maps.Keys(plain)) {
+			want = append(want, n+":"+plain[n])
+		}
+		for i, b := range o.books {
+			if got := names(b); !slices.Equal(got, want) {
+				t.Fatalf("node %d has %v, want %v", i, got, want)
+			}
+		}
+	})
+}
+
+// A cordon bars what matches all that it names; it ends by itself only when every clock
+// agrees; a record that cannot be read leaves what was read before in force.
+func TestWhatACordonBars(t *testing.T) {
+	o := newOffice(1)
+	b := o.books[0]
+	at := Place{Machine: "n-1", Type: "m8", Zone: "x", Spot: true}
+	for _, c := range []struct {
+		c    Cordon
+		bars bool
+	}{
+		{Cordon{Machine: "n-1"}, true}, {Cordon{Machine: "n-2"}, false}, {Cordon{Zone: "x", Kind: Spot}, true}, {Cordon{Zone: "x", Kind: Ordinary}, false},
+		{Cordon{Type: "m8", Zone: "y"}, false}, {Cordon{Type: "m8"}, true},
+	} {
+		if c.c.Bars(at) != c.bars {
+			t.Errorf("%+v bars %+v: %v", c.c, at, !c.bars)
+		}
+	}
+	until := o.Wall() + 10*loop.Second
+	b.Put(Cordon{Name: "c", Zone: "x", Reason: "r", Until: until}, func(Outcome) {})
+	o.Run(loop.Second)
+	before := b.Version()
+	o.Run(until - o.Wall() + clockTo - loop.Millisecond)
+	if !b.Barred(at) {
+		t.Fatal("the cordon has ended before every clock was past its end")
+	}
+	o.Run(10 * loop.Millisecond)
+	if b.Barred(at) || b.Version() == before {
+		t.Fatalf("the cordon has not ended: barred %v, version %d", b.Barred(at), b.Version())
+	}
+	b.Put(Cordon{Name: "d", Zone: "x", Reason: "r"}, func(Outcome) {})
+	o.Run(loop.Second)
+	o.state.Put(Key, map[string]any{"f": 99, "c": []Cordon{}})
+	o.Run(2 * loop.Second)
+	b.Refresh()
+	o.Run(2 * loop.Second)
+	if !b.Damaged() || !b.Barred(at) {
+		t.Fatalf("a record of another format: damaged %v, barred %v", b.Damaged(), b.Barred(at))
+	}
+	var out Outcome = -1
+	b.Put(Cordon{Name: "e", Zone: "y", Reason: "r"}, func(x Outcome) { out = x })
+	o.Run(2 * loop.Second)
+	if out != Stored || b.Damaged() || len(b.All()) != 2 {
+		t.Fatalf("the next change gives %v, damaged %v, %v", out, b.Damaged(), b.All())
+	}
+	o.state.SetDown(true)
+	b.Put(Cordon{Name: "f", Zone: "y", Reason: "r"}, func(x Outcome) { out = x })
+	o.Run(5 * loop.Second)
+	if out != Unstored {
+		t.Fatalf("in an outage a change gives %v", out)
+	}
+}
--- a/internal/placer/explain.go
+++ b/internal/placer/explain.go
@@ -213,9 +213,14 @@
 	return out
 }
 
-// tellAgain is after how long causes are told once more: a frame may be lost, and a peer
-// drops what it hears of a job whose record has not reached it yet.
-const tellAgain = 5 * loop.Second
+// Causes are told again a few times, since a frame may be lost, and a peer drops what it
+// hears of a job whose record has not reached it yet; then rarely, for peers that began
+// anew.
+const (
+	tellAgain  = 5 * loop.Second
+	tellOften  = 2
+	tellRarely = 30 * loop.Second
+)
 
 // newCauses brings a job's causes up to date, and tells whether they differ in kind, or
 // by half in number, from those last told, or are to be told again.
@@ -227,10 +232,18 @@
 		a, b := now[i], t.causes[i]
 		same = a.Kind == b.Kind && 2*a.Tasks <= 3*b.Tasks && 2*b.Tasks <= 3*a.Tasks
 	}
-	if same && wall-t.toldAt < tellAgain {
+	if !same {
+		t.toldTimes = 0
+	}
+	wait := tellAgain
+	if t.toldTimes > tellOften {
+		wait = tellRarely
+	}
+	if same && (wall-t.toldAt < wait || (t.toldTimes > tellOften && len(now) == 0)) {
 		return false
 	}
 	t.toldAt = wall
+	t.toldTimes++
 	t.causes = slices.Clone(now)
 	return true
 }
--- a/internal/placer/table.go
+++ b/internal/placer/table.go
@@ -71,6 +71,7 @@
 	stopped   map[string]string // by machine: the job for which tasks of it were stopped
 	causes    []gate.Cause      // as last told
 	toldAt    loop.Micros       // time of day at which they were told; 0: never by this owner
+	toldTimes int               // since they last changed
 	missing   loop.Micros       // since when tasks of it find no room; 0: none does
 	toldDone  int64
 	toldRun   int64
--- a/internal/store/mirror.go
+++ b/internal/store/mirror.go
@@ -38,6 +38,7 @@
 	prefix  string
 	state   MirrorState
 	since   uint64
+	known   bool // the keys were read at least once
 	tries   int
 	entries map[string]Entry
 	subs    []sub
@@ -63,7 +64,7 @@
 func (m *Mirror) OnReady(f func()) { m.ready = append(m.ready, f) }
 
 // Ready tells whether the keys were read.
-func (m *Mirror) Ready() bool { return m.since != 0 }
+func (m *Mirror) Ready() bool { return m.known }
 
 func (m *Mirror) setState(s MirrorState) { m.state = s }
 
@@ -134,8 +135,10 @@
 				m.Apply(k, nil, tally, true) // it went while we could not see
 			}
 		}
-		first := m.since == 0
-		m.since = max(tally, 1)
+		// An empty store has tally 0. Taken for 1, as it was, its very first change was
+		// never seen by any node but the one that made it.
+		first := !m.known
+		m.known, m.since = true, tally
 		m.setState(MirrorWatching)
 		if first {
 			for _, f := range m.ready {
