A cordon's name has only letters, digits, dots, dashes and underscores

Need: names stand in paths, logs and answers; a control character in one helps nobody. Change: the name is checked before it is stored.

--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -186,6 +186,7 @@
 		{g.keyOf("operate"), "PUT", "/v1/cordons/c", `{"reason":"r"}`, 400, "body", ""},
 		{g.keyOf("operate"), "PUT", "/v1/cordons/c", `{"zone":"x","reason":"r","until":"1969-01-01T00:00:00Z"}`, 422, "past", "/until"},
 		{g.keyOf("operate"), "PUT", "/v1/cordons/" + strings.Repeat("c", 65), `{"zone":"x","reason":"r"}`, 400, "query", ""},
+		{g.keyOf("operate"), "PUT", "/v1/cordons/two%20words", `{"zone":"x","reason":"r"}`, 400, "query", ""},
 		{g.keyOf("operate"), "DELETE", "/v1/cordons/none", "", 404, "unknown-cordon", ""},
 		{g.keyOf("read"), "GET", "/v1/jobs?limit=0", "", 400, "query", "limit"},
 		{g.keyOf("read"), "GET", "/v1/jobs?state=odd", "", 400, "query", "state"},
--- a/internal/api/cluster.go
+++ b/internal/api/cluster.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"strings"
 
 	"cleatpick/internal/cordon"
 	"cleatpick/internal/explain"
@@ -128,8 +127,8 @@
 		fail(c.ctx, *bad)
 		return
 	}
-	if len(c.arg) > cordon.MaxName || strings.ContainsAny(c.arg, " %\"") {
-		fail(c.ctx, badQuery.with("a cordon's name has at most %d bytes and no spaces", cordon.MaxName))
+	if !cordon.ValidName(c.arg) {
+		fail(c.ctx, badQuery.with("a cordon's name has 1 to %d letters, digits, dots, dashes and underscores", cordon.MaxName))
 		return
 	}
 	a.onLoop(c, func(done func(outcome)) {
--- a/internal/cordon/cordon.go
+++ b/internal/cordon/cordon.go
@@ -45,6 +45,16 @@
 	Until   int64  `cbor:"u,omitempty"` // time of day at which it ends by itself; 0: never
 }
 
+// ValidName tells whether a cordon may have this name.
+func ValidName(s string) bool {
+	for _, c := range s {
+		if (c < 'a' || c > 'z') && (c < 'A' || c > 'Z') && (c < '0' || c > '9') && c != '.' && c != '-' && c != '_' {
+			return false
+		}
+	}
+	return s != "" && len(s) <= MaxName
+}
+
 // Place names where a task might go. Machine is empty for one that is not rented yet.
 type Place struct {
 	Machine, Type, Zone string
