The fleet stands alone: slots, ranking, claims, preemption and turnover leave placer

No decision changes: the pass against its plain model, the exact reasons, the referee worlds and the loopback tests pass.

--- /dev/null
+++ b/internal/fleet/stop.go
@@ -0,0 +1,255 @@
+package fleet
+
+import (
+	"cmp"
+	"container/heap"
+	"slices"
+
+	"cleatpick/internal/agent"
+	"cleatpick/internal/gate"
+	"cleatpick/internal/job"
+	"cleatpick/internal/loop"
+	"cleatpick/internal/peer"
+	"cleatpick/internal/wire"
+)
+
+// AddClaim keeps room on a machine for a job.
+func (f *Fleet) AddClaim(c peer.Claim) {
+	sl := f.slots[c.Machine]
+	if sl == nil {
+		return // nothing is placed here on a machine that was not heard
+	}
+	sl.Claims = append(sl.Claims, gate.Claim{Job: c.Job, Priority: c.Priority, Until: c.Until,
+		Room: agent.Room{CPUs: c.CPUs, GPUs: c.GPUs, MemoryGB: c.MemoryGB}})
+	f.claimed[sl] = struct{}{}
+	f.held[c.Job]++
+}
+
+func (f *Fleet) dropClaim(sl *Slot, i int) {
+	id := sl.Claims[i].Job
+	if f.held[id]--; f.held[id] <= 0 {
+		delete(f.held, id)
+	}
+	sl.Claims = append(sl.Claims[:i], sl.Claims[i+1:]...)
+	if len(sl.Claims) == 0 {
+		delete(f.claimed, sl)
+	}
+}
+
+// UseClaim takes a claim of the job on this machine away, since a task took the room.
+func (f *Fleet) UseClaim(sl *Slot, id string) {
+	for i := range sl.Claims {
+		if sl.Claims[i].Job == id {
+			f.dropClaim(sl, i)
+			return
+		}
+	}
+}
+
+// ExpireClaims ends the claims whose time is up.
+func (f *Fleet) ExpireClaims() {
+	wall := f.r.Wall()
+	for sl := range f.claimed {
+		for i := len(sl.Claims) - 1; i >= 0; i-- {
+			if wall >= sl.Claims[i].Until {
+				f.dropClaim(sl, i)
+			}
+		}
+	}
+}
+
+// Held is the number of claims of a job: room for so many tasks is being made.
+func (f *Fleet) Held(id string) int { return f.held[id] }
+
+// stopping is a task that was asked to stop, and until when that counts.
+type stopping struct {
+	attempt
+	until loop.Micros
+}
+
+// isStopping tells whether the task was asked to stop lately.
+func (sl *Slot) isStopping(t *agent.Task, now loop.Micros) bool {
+	for i := 0; i < len(sl.stopped); i++ {
+		switch x := &sl.stopped[i]; {
+		case now > x.until:
+			sl.stopped = append(sl.stopped[:i], sl.stopped[i+1:]...)
+			i--
+		case x.no == t.Attempt && x.task == t.Task:
+			return true
+		}
+	}
+	return false
+}
+
+// victim is a task that may be stopped, and what that loses.
+type victim struct {
+	task  *agent.Task
+	spec  *job.Spec
+	loss  float64 // CPU seconds
+	grace loop.Micros
+}
+
+// mayStop applies the rules of preemption: lower priority gives way to higher; and
+// what a team runs beyond its guarantee gives way to another team's guarantee.
+func (f *Fleet) mayStop(need *gate.Need, s *job.Spec, within bool, excess map[string]float64) bool {
+	if s.Service && s.Priority >= need.Spec.Priority {
+		return false
+	}
+	if s.Priority < need.Spec.Priority {
+		return true
+	}
+	return within && s.Team != need.Spec.Team && excess[s.Team] >= s.CPUs
+}
+
+// victims lists what may be stopped on a machine, the least loss first.
+func (f *Fleet) victims(out []victim, need *gate.Need, sl *Slot, now loop.Micros, within bool, excess map[string]float64) []victim {
+	urgent := need.Spec.Priority >= job.High
+	for i := range sl.V.Tasks {
+		x := &sl.V.Tasks[i]
+		if x.State != wire.TaskRunning && x.State != wire.TaskFetching {
+			continue
+		}
+		j := sl.Jobs[i]
+		if j == nil || j.Spec == nil || !f.mayStop(need, j.Spec, within, excess) {
+			continue
+		}
+		if sl.isStopping(x, now) {
+			continue
+		}
+		s := j.Spec
+		var ran loop.Micros
+		if sl.Runs.Since[i] != 0 {
+			ran = now - sl.Runs.Since[i]
+		}
+		y := victim{task: x, spec: s}
+		switch {
+		case s.Checkpoint > 0 && !urgent:
+			y.grace = s.Save + loop.Second
+			ran = s.Save
+		case s.Checkpoint > 0:
+			ran %= s.Checkpoint
+		}
+		y.loss = float64(ran) / 1e6 * s.CPUs
+		if s.Priority >= need.Spec.Priority {
+			y.loss += 60 * s.CPUs
+		}
+		out = append(out, y)
+	}
+	slices.SortStableFunc(out, func(a, b victim) int { return cmp.Compare(a.loss, b.loss) })
+	return out
+}
+
+// attempt names one try of a task.
+type attempt struct {
+	task string
+	no   uint64
+}
+
+// option is what making room for one task on a machine takes.
+type option struct {
+	sl   *Slot
+	set  []victim
+	cost float64
+}
+
+// optionOn finds the cheapest stops on a machine that make room for a task of the job.
+func (f *Fleet) optionOn(need *gate.Need, sl *Slot, now loop.Micros, within bool, excess map[string]float64) (option, bool) {
+	s := need.Spec
+	o := option{sl: sl}
+	if !sl.Allowed(need) {
+		return o, false
+	}
+	f.scratch = f.victims(f.scratch[:0], need, sl, now, within, excess)
+	if len(f.scratch) == 0 {
+		return o, false
+	}
+	room := sl.Beside(need)
+	if !sl.Runs.HasImage(s.Image) {
+		o.cost = 20 * s.CPUs
+	}
+	n := 0
+	for n < len(f.scratch) && !room.Fits(s) {
+		room.Give(f.scratch[n].spec)
+		o.cost += f.scratch[n].loss
+		n++
+	}
+	if n == 0 || !room.Fits(s) {
+		return o, false
+	}
+	o.set = slices.Clone(f.scratch[:n])
+	return o, true
+}
+
+// options is a heap, the cheapest first.
+type options []option
+
+func (o options) Len() int           { return len(o) }
+func (o options) Less(i, j int) bool { return o[i].cost < o[j].cost }
+func (o options) Swap(i, j int)      { o[i], o[j] = o[j], o[i] }
+func (o *options) Push(x any)        { *o = append(*o, x.(option)) }
+func (o *options) Pop() any {
+	old := *o
+	x := old[len(old)-1]
+	*o = old[:len(old)-1]
+	return x
+}
+
+// Preempt makes room for the waiting tasks of a job that found none, and tells where: a
+// claim for each. excess is what each team runs beyond its guarantee. The machines are gone through once; only the one that was chosen is looked at
+// again.
+func (f *Fleet) Preempt(need *gate.Need, want int, within bool, excess map[string]float64) (claims []peer.Claim) {
+	s := need.Spec
+	now := f.r.Now()
+	after := now - f.n.StaleAfter
+	var all options
+	for _, sl := range f.order {
+		if !sl.Open(after, now) {
+			continue
+		}
+		if o, ok := f.optionOn(need, sl, now, within, excess); ok {
+			all = append(all, o)
+		}
+	}
+	heap.Init(&all)
+	made := 0
+	for made < want && len(all) > 0 {
+		best := all[0]
+		// What was stopped since for this job may have used up another team's excess.
+		o, ok := f.optionOn(need, best.sl, now, within, excess)
+		if !ok {
+			heap.Pop(&all)
+			continue
+		}
+		if o.cost > best.cost {
+			all[0] = o
+			heap.Fix(&all, 0)
+			continue
+		}
+		made++
+		wait := loop.Micros(0)
+		for _, y := range o.set {
+			wait = max(wait, y.grace)
+			excess[y.spec.Team] -= y.spec.CPUs
+			o.sl.Room.Give(y.spec)
+			o.sl.stopped = append(o.sl.stopped, stopping{attempt{y.task.Task, y.task.Attempt}, now + y.grace + 5*loop.Second})
+			f.log.Debug("preempt", "task", y.task.Task, "machine", o.sl.V.Name, "for", need.ID, "grace_us", y.grace)
+			f.n.Stop(o.sl.V.Host, agent.Stop{Machine: o.sl.V.Name, Task: y.task.Task, Attempt: y.task.Attempt, Grace: y.grace})
+		}
+		o.sl.Room.Take(s)
+		f.Touch(o.sl)
+		c := peer.Claim{Machine: o.sl.V.Name, Job: need.ID, Priority: int(s.Priority), CPUs: s.CPUs, GPUs: s.GPUs, MemoryGB: s.MemoryGB,
+			Until: f.r.Wall() + wait + 4*loop.Second}
+		for _, y := range o.set {
+			c.Victims = append(c.Victims, y.task.Task)
+		}
+		f.AddClaim(c)
+		claims = append(claims, c)
+		if again, ok := f.optionOn(need, o.sl, now, within, excess); ok {
+			all[0] = again
+			heap.Fix(&all, 0)
+		} else {
+			heap.Pop(&all)
+		}
+	}
+	return claims
+}
--- a/internal/placer/explain.go
+++ b/internal/placer/explain.go
@@ -8,6 +8,7 @@
 	"cleatpick/internal/agent"
 	"cleatpick/internal/cordon"
 	"cleatpick/internal/explain"
+	"cleatpick/internal/fleet"
 	"cleatpick/internal/gate"
 	"cleatpick/internal/job"
 	"cleatpick/internal/loop"
@@ -32,16 +33,16 @@
 		return &explain.Facts{Job: j, Gate: gate.Job{Spec: j.Spec, Hold: &j.Terms.Hold}, Need: gate.Need{ID: id, Spec: j.Spec, Tasks: j.Tasks}, Team: tm.cfg, Contact: contact, Sure: true,
 			Now: now, Wall: p.r.Wall()}, true
 	}
-	p.refresh()
+	p.fleet.Refresh()
 	f = &explain.Facts{Job: j, Gate: p.facts(t), Need: t.need(), Team: tm.cfg, Contact: contact, Sure: true, Now: now, Wall: p.r.Wall(),
 		After: now - p.staleAfter(), Running: t.running, Done: t.completed}
 	f.Gate.Now, f.Gate.Wall = f.Now, f.Wall
 	if n := f.Gate.Waiting; n > 0 && !j.Final() {
-		f.Places = make([]*gate.Place, len(p.fleet.order))
-		for i, sl := range p.fleet.order {
+		f.Places = make([]*gate.Place, len(p.fleet.All()))
+		for i, sl := range p.fleet.All() {
 			f.Places[i] = &sl.Place
 		}
-		f.Fits = p.trial(t, n, p.fleet.order)
+		f.Fits = p.fleet.Trial(t.need(), n, p.fleet.All())
 		f.FitsAll = p.trialUncordoned(t, n)
 		f.Barred, f.Cordons = p.barring(j.Spec, types)
 		p.ahead(f, t, types)
@@ -51,21 +52,12 @@
 	return f, true
 }
 
-// copies are the fleet's slots to be tried on; lifted: as if no cordon were there.
-func (p *Placer) copies(lifted bool) []*slot {
-	out := copied(p.fleet.order)
-	for _, sl := range out {
-		sl.Cordoned = sl.Cordoned && !lifted
-	}
-	return out
-}
-
 // trialUncordoned is trial as it would be if no cordon were there.
 func (p *Placer) trialUncordoned(t *table, n int) int {
 	if !p.cordons.Any() {
-		return p.trial(t, n, p.fleet.order)
+		return p.fleet.Trial(t.need(), n, p.fleet.All())
 	}
-	return p.take(t, n, p.copies(true))
+	return p.fleet.Take(t.need(), n, p.fleet.Copies(true))
 }
 
 // barring tells whether cordons bar every place that the job allows, and names those
@@ -92,9 +84,9 @@
 			}
 		}
 	}
-	for _, sl := range p.fleet.order {
+	for _, sl := range p.fleet.All() {
 		if sl.Cordoned && s.AllowsPlace(sl.V.Type, sl.V.Zone, sl.V.Spot) {
-			note(placeOf(sl.V))
+			note(fleet.Where(sl.V))
 		}
 	}
 	for n := range seen {
@@ -162,7 +154,7 @@
 	if x.state == Recording {
 		return gate.Recording, "recording", x.chosen
 	}
-	v, sl := p.agent.View(x.machine), p.fleet.slots[x.machine]
+	v, sl := p.agent.View(x.machine), p.fleet.Slot(x.machine)
 	switch {
 	case v == nil || sl == nil:
 		return gate.Unproven, "neverHeard", 0
@@ -277,9 +269,9 @@
 
 // Places calls f for every machine heard; a machine not heard since after takes no starts.
 func (p *Placer) Places(f func(pl *gate.Place, after loop.Micros)) {
-	p.refresh()
+	p.fleet.Refresh()
 	after := p.r.Now() - p.staleAfter()
-	for _, sl := range p.fleet.order {
+	for _, sl := range p.fleet.All() {
 		f(&sl.Place, after)
 	}
 }
@@ -289,8 +281,8 @@
 func (p *Placer) Unseen(name string) int {
 	n := 0
 	for machine, on := range p.on {
-		sl := p.fleet.slots[machine]
-		if sl == nil || !slices.Contains(p.cordons.Barring(placeOf(sl.V)), name) {
+		sl := p.fleet.Slot(machine)
+		if sl == nil || !slices.Contains(p.cordons.Barring(fleet.Where(sl.V)), name) {
 			continue
 		}
 		for r := range on {
--- a/internal/placer/facts.go
+++ b/internal/placer/facts.go
@@ -2,7 +2,7 @@
 
 import (
 	"cleatpick/internal/agent"
-	"cleatpick/internal/cordon"
+	"cleatpick/internal/fleet"
 	"cleatpick/internal/gate"
 	"cleatpick/internal/job"
 	"cleatpick/internal/loop"
@@ -56,16 +56,12 @@
 	if t.j.Terms.Hold.State != job.HoldNone && t.j.Terms.Hold.Shut(p.r.Wall()) {
 		return "held"
 	}
-	if sl := p.fleet.slots[machine]; sl != nil && p.cordons.Barred(placeOf(sl.V)) {
+	if sl := p.fleet.Slot(machine); sl != nil && p.cordons.Barred(fleet.Where(sl.V)) {
 		return "cordoned"
 	}
 	return ""
 }
 
-func placeOf(v *agent.View) cordon.Place {
-	return cordon.Place{Machine: v.Name, Type: v.Type, Zone: v.Zone, Spot: v.Spot}
-}
-
 // settle calls the holds of a team's jobs set once nothing that was recorded before them
 // can begin any more, and withdraws jobs whose user wanted that when one before them was.
 func (p *Placer) settle(tm *team) {
@@ -111,9 +107,20 @@
 	return gate.Need{ID: t.j.ID, Spec: t.j.Spec, Tasks: t.j.Tasks, Zones: t.zones}
 }
 
-// rest keeps a machine out of the choice until a time.
-func (sl *slot) rest(until loop.Micros, why string) {
-	if until > sl.Shut {
-		sl.Shut, sl.ShutWhy = until, why
+// staleAfter is how long after its last word a machine takes no starts.
+func (p *Placer) staleAfter() loop.Micros {
+	return 2*loop.Seconds(p.cfg.Cluster.Workers.ReportS) + 3*loop.Second
+}
+
+// unshown calls f for every task that was chosen for or started on the machine and that
+// its view does not show yet.
+func (p *Placer) unshown(v *agent.View, f func(*job.Spec)) {
+	for r := range p.on[v.Name] {
+		x := r.t.task(r.i)
+		n := r.t.name(r.i)
+		if x.session < v.Session || v.Holds(n, x.attempt) || v.Find(n, x.attempt) != nil {
+			continue
+		}
+		f(r.t.j.Spec)
 	}
 }
--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -1,10 +1,10 @@
 package placer
 
 import (
-	"maps"
 	"sort"
 
 	"cleatpick/internal/agent"
+	"cleatpick/internal/fleet"
 	"cleatpick/internal/gate"
 	"cleatpick/internal/job"
 	"cleatpick/internal/loop"
@@ -89,14 +89,14 @@
 	if len(q) == 0 {
 		return
 	}
-	p.expireClaims()
-	p.refresh()
+	p.fleet.ExpireClaims()
+	p.fleet.Refresh()
 	now := p.r.Now()
 	stops := now >= p.pre.nextRun
-	hope := p.turn.rate * p.share() * rentPatience
-	b := budget{left: mostStops, hope: p.turn.rate * p.share(), vain: map[stopKey]bool{}}
+	hope := p.turn.Rate * p.share() * rentPatience
+	b := budget{left: mostStops, hope: p.turn.Rate * p.share(), vain: map[stopKey]bool{}}
 	var chosen []hostStart
-	full := map[shape]bool{} // nothing has room for tasks of this shape
+	full := map[fleet.Shape]bool{} // nothing has room for tasks of this shape
 	for _, e := range q {
 		t := e.t
 		s := t.j.Spec
@@ -106,11 +106,11 @@
 			probe = 0
 			p.lastWant = append(p.lastWant, p.want(t, t.waiting()))
 		}
-		sh, free := shapeOf(s)
-		if n := min(probe, facts.Passes(gate.Limit)); n > 0 && (!full[sh] || p.pre.held[t.j.ID] > 0) {
+		sh, free := fleet.ShapeOf(s)
+		if n := min(probe, facts.Passes(gate.Limit)); n > 0 && (!full[sh] || p.fleet.Held(t.j.ID) > 0) {
 			got := p.fill(t, n, &chosen)
 			probe -= got
-			if got < n && free && p.pre.held[t.j.ID] == 0 {
+			if got < n && free && p.fleet.Held(t.j.ID) == 0 {
 				full[sh] = true
 			}
 		}
@@ -167,7 +167,7 @@
 }
 
 type stopKey struct {
-	shape  shape
+	shape  fleet.Shape
 	team   string
 	within bool
 }
@@ -195,19 +195,22 @@
 	} else if !within {
 		return
 	}
-	n -= p.pre.held[t.j.ID] // room for these is being made already
+	n -= p.fleet.Held(t.j.ID) // room for these is being made already
 	if n > 0 && s.CPUs > 0 {
 		hope := max(b.hope*float64(patience-(now-t.missing))/1e6-b.spoken, 0)
 		by := min(int(hope/s.CPUs), n)
 		b.spoken += float64(by) * s.CPUs
 		n -= by
 	}
-	sh, free := shapeOf(s)
+	sh, free := fleet.ShapeOf(s)
 	key := stopKey{sh, s.Team, within}
 	if n = min(n, b.left); n <= 0 || b.vain[key] {
 		return
 	}
-	made := p.preempt(t, n, within, b.excess)
+	need := t.need()
+	claims := p.fleet.Preempt(&need, n, within, b.excess)
+	made := len(claims)
+	p.claimed(claims)
 	b.left -= made
 	if made < n && free {
 		b.vain[key] = true
@@ -217,16 +220,15 @@
 // fill places up to n waiting tasks of a job and tells how many found room.
 func (p *Placer) fill(t *table, n int, chosen *[]hostStart) int {
 	s, got, need := t.j.Spec, 0, t.need()
-	for _, sl := range p.ranked(t, p.fleet.order) {
+	for _, sl := range p.fleet.Ranked(&need, p.fleet.All()) {
 		for got < n && sl.Takes(&need) {
 			i := t.pop()
 			x := t.task(i)
 			x.attempt++
 			x.machine, x.session, x.expiry, x.since = sl.V.Name, sl.V.Session, 0, 0
 			x.chosen = p.r.Now()
-			sl.Room.Take(s)
-			sl.used += s.CPUs
-			p.useClaim(sl, t.j.ID)
+			sl.Take(s)
+			p.fleet.UseClaim(sl, t.j.ID)
 			p.setTask(t, i, Recording)
 			*chosen = append(*chosen, hostStart{sl.V.Host, agent.Start{Machine: x.machine, Session: x.session, Task: t.name(i), Attempt: x.attempt, From: p.n.Label}})
 			p.recordStart(t, i)
@@ -249,42 +251,7 @@
 // of its tasks is left over from an earlier start.
 func (p *Placer) gangFits(t *table) bool {
 	n := t.waiting()
-	return t.inUse == 0 && p.missed(t) >= n && p.trial(t, n, p.fleet.order) == n
-}
-
-// trial tells how many of n more tasks of the job find room now, placing none.
-func (p *Placer) trial(t *table, n int, slots []*slot) int {
-	return p.takeRanked(t, n, copied(p.ranked(t, slots)))
-}
-
-// copied are slots to be tried on.
-func copied(slots []*slot) []*slot {
-	room := make([]slot, len(slots))
-	out := make([]*slot, len(slots))
-	for i, sl := range slots {
-		room[i] = *sl
-		out[i] = &room[i]
-	}
-	return out
-}
-
-// take takes the room for up to n tasks of the job on copies of the slots.
-func (p *Placer) take(t *table, n int, slots []*slot) int {
-	return p.takeRanked(t, n, p.ranked(t, slots))
-}
-
-func (p *Placer) takeRanked(t *table, n int, slots []*slot) int {
-	need := t.need()
-	need.Zones = maps.Clone(t.zones)
-	got := 0
-	for _, sl := range slots {
-		for got < n && sl.Takes(&need) {
-			sl.Room.Take(need.Spec)
-			need.Zones[sl.V.Zone]++
-			got++
-		}
-	}
-	return got
+	return t.inUse == 0 && p.missed(t) >= n && p.fleet.Trial(t.need(), n, p.fleet.All()) == n
 }
 
 // missed is how many of a job's tasks wait for room and not for their team's limit.
--- a/internal/placer/place_test.go
+++ b/internal/placer/place_test.go
@@ -180,7 +180,7 @@
 			for _, name := range names {
 				v := g.a.View(name)
 				room := rooms[name]
-				if !room.Fits(s) || !s.AllowsPlace(v.Type, v.Zone, v.Spot) || v.NoticeAt != 0 || v.Closed || g.Now() < g.p.fleet.slots[name].Shut {
+				if !room.Fits(s) || !s.AllowsPlace(v.Type, v.Zone, v.Spot) || v.NoticeAt != 0 || v.Closed || g.Now() < g.p.fleet.Slot(name).Shut {
 					continue
 				}
 				other := false
@@ -192,7 +192,7 @@
 				}
 				typ := types[v.Type]
 				score := 2*(typ.CPUs-room.CPUs)/typ.CPUs - 3*(1-least/cost[name])
-				if g.p.fleet.slots[name].runs.HasImage(s.Image) {
+				if g.p.fleet.Slot(name).Runs.HasImage(s.Image) {
 					score++
 					if s.Priority >= job.High {
 						score += 9
@@ -288,8 +288,9 @@
 			if !maps.Equal(got, want) {
 				t.Fatalf("placed %v, want %v", got, want)
 			}
-			g.p.refresh()
-			for name, sl := range g.p.fleet.slots {
+			g.p.fleet.Refresh()
+			for _, sl := range g.p.fleet.All() {
+				name := sl.V.Name
 				if room := g.plainRoom(name); sl.Known && room != sl.Room {
 					t.Fatalf("%s has %v free by its slot, %v by its view", name, sl.Room, room)
 				}
@@ -473,7 +474,7 @@
 			}
 			on[name] = kept
 			g.show(name, "m8", "x", false, slices.Clone(kept)...)
-			if g.p.fleet.slots[name].Shut > g.Now() {
+			if g.p.fleet.Slot(name).Shut > g.Now() {
 				rested[name] = true
 			}
 		}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -8,6 +8,7 @@
 	"cleatpick/internal/agent"
 	"cleatpick/internal/config"
 	"cleatpick/internal/cordon"
+	"cleatpick/internal/fleet"
 	"cleatpick/internal/gate"
 	"cleatpick/internal/health"
 	"cleatpick/internal/job"
@@ -57,10 +58,9 @@
 	teams    map[string]*team
 	on       map[string]map[ref]struct{} // tasks in use by machine
 	failures *health.Failures
-	fleet    *fleet
+	fleet    *fleet.Fleet
 	placing  bool
 	took     loop.Micros // how long the newest pass took
-	scratch  []victim
 
 	commitAt loop.Micros // when the next commit is due; 0: none
 	zoneMemo map[string]string
@@ -68,7 +68,7 @@
 	lastWant []peer.Want
 	usage    map[string]peer.Usage
 	pre      preemptor
-	turn     turnover
+	turn     fleet.Turnover
 	paces    health.Paces
 	checked  map[string]loop.Micros
 }
@@ -76,13 +76,15 @@
 // New makes the placer.
 func New(r loop.Runner, c *store.Client, log *slog.Logger, cfg *config.Config, n Node, book *job.Book, a *agent.Agent, cordons *cordon.Book) *Placer {
 	p := &Placer{r: r, cordons: cordons, c: c, log: log, cfg: cfg, n: n, book: book, agent: a, teams: map[string]*team{}, on: map[string]map[ref]struct{}{},
-		failures: health.NewFailures(), fleet: newFleet(), zoneMemo: map[string]string{}, nonce: rand.Uint64() >> 1, usage: map[string]peer.Usage{},
-		pre:     preemptor{claimed: map[*slot]struct{}{}, held: map[string]int{}},
+		failures: health.NewFailures(), zoneMemo: map[string]string{}, nonce: rand.Uint64() >> 1, usage: map[string]peer.Usage{},
+
 		checked: map[string]loop.Micros{}, paces: health.Paces{}}
+	p.fleet = fleet.New(r, log, fleet.Node{Label: n.Label, Type: n.Type, Room: a.Room, Jobs: a.Jobs, Unshown: p.unshown, Stop: n.Stop,
+		Cordons: cordons, StaleAfter: p.staleAfter()})
 	loop.Every(r, 400*loop.Millisecond, p.tick)
 	loop.Every(r, 60*loop.Second, func() {
 		for m := range p.zoneMemo { // of machines that are gone, once nothing counts there
-			if p.on[m] == nil && p.fleet.slots[m] == nil {
+			if p.on[m] == nil && p.fleet.Slot(m) == nil {
 				delete(p.zoneMemo, m)
 			}
 		}
@@ -200,23 +202,23 @@
 	p.zoneMemo[v.Name] = v.Zone
 	// What runs on a machine that was not heard lately may have begun long ago. A new
 	// owner that took its first sight for the beginning found every task slow.
-	old := p.fleet.slots[v.Name]
+	old := p.fleet.Slot(v.Name)
 	unsure := old == nil || now-old.Heard > 2*loop.Seconds(p.cfg.Cluster.Workers.ReportS)
 	if old == nil {
 		if typ, ok := p.n.Type(v.Type); ok && len(v.Tasks) == 0 {
-			p.turn.freed += typ.CPUs // one that has just come up is room as well
+			p.turn.Free(typ.CPUs) // one that has just come up is room as well
 		}
 	}
-	sl := p.fleet.view(v, now)
+	sl := p.fleet.View(v, now)
 	p.failures.View(now, v)
-	sl.rest(p.failures.Until(v.Name), "tasks fail on it")
-	sl.jobs = p.agent.Jobs(v)
-	if slow, factor := sl.runs.Judge(v, sl.jobs, p.paces, now); slow && now >= sl.Shut {
+	sl.Rest(p.failures.Until(v.Name), "tasks fail on it")
+	sl.Jobs = p.agent.Jobs(v)
+	if slow, factor := sl.Runs.Judge(v, sl.Jobs, p.paces, now); slow && now >= sl.Shut {
 		p.log.Debug("slow machine rests", "machine", v.Name, "times", factor)
-		sl.rest(now+health.SlowRest, "its tasks run slowly")
-		sl.runs.Rest()
+		sl.Rest(now+health.SlowRest, "its tasks run slowly")
+		sl.Runs.Rest()
 	}
-	p.turn.freed += sl.runs.Note(v, sl.jobs, now, unsure)
+	p.turn.Free(sl.Runs.Note(v, sl.Jobs, now, unsure))
 	for r := range p.on[v.Name] {
 		p.judge(r.t, r.i, v)
 	}
@@ -372,12 +374,7 @@
 			p.off(r.t, r.i, "machine gone")
 		}
 	}
-	if sl := p.fleet.slots[machine]; sl != nil {
-		for len(sl.Claims) > 0 {
-			p.dropClaim(sl, 0)
-		}
-		p.fleet.gone(machine)
-	}
+	p.fleet.Gone(machine)
 	delete(p.checked, machine)
 	p.failures.Gone(machine)
 	p.Kick()
@@ -487,15 +484,15 @@
 
 // shut keeps a machine out of the choice for a moment, until its newer view is here.
 func (p *Placer) shut(machine string) {
-	if sl := p.fleet.slots[machine]; sl != nil {
-		sl.rest(p.r.Now()+300*loop.Millisecond, "its host refused a start")
+	if sl := p.fleet.Slot(machine); sl != nil {
+		sl.Rest(p.r.Now()+300*loop.Millisecond, "its host refused a start")
 	}
 }
 
 // tick repeats what may have been lost and tells others what they need.
 func (p *Placer) tick() {
 	now, wall := p.r.Now(), p.r.Wall()
-	p.turn.tick(now)
+	p.turn.Tick(now)
 	for m, on := range p.on {
 		v := p.agent.View(m)
 		gone := p.agent.IsGone(m)
@@ -627,7 +624,7 @@
 	t := peer.Tally{Wall: p.r.Wall(), Wants: p.lastWant}
 	now := p.r.Now()
 	for m := range p.on {
-		if sl := p.fleet.slots[m]; sl == nil || now-sl.Heard > p.staleAfter() {
+		if sl := p.fleet.Slot(m); sl == nil || now-sl.Heard > p.staleAfter() {
 			t.Suspect = append(t.Suspect, m)
 		}
 	}
--- a/internal/placer/rivals.go
+++ b/internal/placer/rivals.go
@@ -7,6 +7,7 @@
 	"cleatpick/internal/agent"
 	"cleatpick/internal/cordon"
 	"cleatpick/internal/explain"
+	"cleatpick/internal/fleet"
 	"cleatpick/internal/gate"
 	"cleatpick/internal/job"
 	"cleatpick/internal/wire"
@@ -142,9 +143,9 @@
 // they take the room there first, b if they take what comes first.
 func (p *Placer) behind(f *explain.Facts, t *table, all []rival, limited, lifted bool, short int) (a, b int) {
 	n := f.Gate.Waiting
-	there, later, fresh := p.copies(lifted), p.copies(lifted), p.fleet.order
+	there, later, fresh := p.fleet.Copies(lifted), p.fleet.Copies(lifted), p.fleet.All()
 	if lifted {
-		fresh = p.copies(true)
+		fresh = p.fleet.Copies(true)
 	}
 	left, first := 0, short // what comes, if the room there is taken first, or last
 	var by [2]agent.Room    // what this team's other jobs use of its limit then
@@ -166,7 +167,7 @@
 		}
 		use[1] += p.takeAll(*r, r.n-use[1], later)
 		// It may also take what work before it leaves.
-		r.may = r.may || got > 0 || use[1] > 0 || p.trial(r.t, r.most, fresh) > 0
+		r.may = r.may || got > 0 || use[1] > 0 || p.fleet.Trial(r.t.need(), r.most, fresh) > 0
 		if r.t.team == t.team && !limited {
 			for i, k := range use {
 				by[i].CPUs += float64(k) * r.t.j.Spec.CPUs
@@ -182,8 +183,8 @@
 			most[i] = g.Passes(gate.Limit)
 		}
 	}
-	a = n - min(p.trial(t, n, there)+max(short-left, 0), most[0])
-	b = n - min(p.trial(t, n, later)+first, most[1])
+	a = n - min(p.fleet.Trial(t.need(), n, there)+max(short-left, 0), most[0])
+	b = n - min(p.fleet.Trial(t.need(), n, later)+first, most[1])
 	return max(a, 0), max(b, 0)
 }
 
@@ -207,11 +208,11 @@
 }
 
 // takeAll takes room for a rival's tasks on copies of the slots; a gang takes all or none.
-func (p *Placer) takeAll(r rival, n int, slots []*slot) int {
-	if n <= 0 || (r.t.j.Spec.Gang && p.trial(r.t, n, slots) < n) {
+func (p *Placer) takeAll(r rival, n int, slots []*fleet.Slot) int {
+	if n <= 0 || (r.t.j.Spec.Gang && p.fleet.Trial(r.t.need(), n, slots) < n) {
 		return 0
 	}
-	return p.take(r.t, n, slots)
+	return p.fleet.Take(r.t.need(), n, slots)
 }
 
 func (p *Placer) probes(t *table) int {
--- a/internal/placer/table.go
+++ b/internal/placer/table.go
@@ -148,7 +148,7 @@
 		t.team.cpus += float64(sign) * spec.CPUs
 		t.team.gpus += float64(sign) * spec.GPUs
 		t.zones[zone] += sign
-		p.fleet.touch(p.fleet.slots[x.machine])
+		p.fleet.Touch(p.fleet.Slot(x.machine))
 		r := ref{t, i}
 		if in {
 			on := p.on[x.machine]
