A peer told late of a cause knows since when; a team without an owner keeps its causes

Change: a cause carries since when it holds; while nobody owns a team, noOwner stands beside what was told last.

--- a/internal/explain/timeline.go
+++ b/internal/explain/timeline.go
@@ -119,9 +119,12 @@
 // begin opens a span, or goes on with one that ended a moment ago.
 func (l *line) begin(c gate.Cause, wall loop.Micros, open *int) {
 	s := stretch{kind: c.Kind, from: wall, tasks: c.Tasks, now: c.Tasks}
+	if c.Since != 0 && c.Since < wall {
+		s.from = c.Since // its owner knows it for longer
+	}
 	for i := *open - 1; i >= 0 && wall-l.spans[i].to < flap; i-- {
 		if l.spans[i].kind == c.Kind {
-			s.from, s.tasks = l.spans[i].from, max(l.spans[i].tasks, c.Tasks)
+			s.from, s.tasks = min(s.from, l.spans[i].from), max(l.spans[i].tasks, c.Tasks)
 			l.spans = append(l.spans[:i], l.spans[i+1:]...)
 			*open--
 			break
@@ -163,6 +166,14 @@
 	return 0
 }
 
+// Dated fills in since when causes hold, for those who did not hear of them at once.
+func (t *Timelines) Dated(id string, causes []gate.Cause) []gate.Cause {
+	for i := range causes {
+		causes[i].Since = t.Since(id, causes[i].Kind)
+	}
+	return causes
+}
+
 // Causes are the causes last told of a job, and when.
 func (t *Timelines) Causes(id string) ([]gate.Cause, loop.Micros) {
 	if l := t.lines[id]; l != nil {
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -76,6 +76,7 @@
 	_     struct{} `cbor:",toarray"`
 	Kind  Kind
 	Tasks int
+	Since loop.Micros // time of day since which it holds; 0: since now
 }
 
 // Everything is more tasks than any job has.
--- a/internal/node/explain.go
+++ b/internal/node/explain.go
@@ -93,6 +93,9 @@
 	for _, p := range all {
 		if j := n.book.Get(p.Job); p.Waits && j != nil && !j.Final() {
 			n.more.desk.Lines.Set(p.Job, p.Causes, p.At, own)
+			if own {
+				n.more.desk.Lines.Dated(p.Job, p.Causes) // for the peers, whom this goes to next
+			}
 		}
 	}
 }
@@ -112,7 +115,11 @@
 	n.book.Each(func(j *job.Job) {
 		if !j.Final() && j.Spec != nil && free[j.Spec.Team] {
 			c := n.progress[j.ID]
-			n.more.desk.Lines.Set(j.ID, []gate.Cause{{Kind: gate.NoOwner, Tasks: j.Tasks - int(c.Done+c.Running)}}, wall, false)
+			// What was told last holds as far as anybody knows: the next owner goes on with it.
+			last, _ := n.more.desk.Lines.Causes(j.ID)
+			causes := slices.DeleteFunc(slices.Clone(last), func(c gate.Cause) bool { return c.Kind == gate.NoOwner })
+			causes = append(causes, gate.Cause{Kind: gate.NoOwner, Tasks: j.Tasks - int(c.Done+c.Running)})
+			n.more.desk.Lines.Set(j.ID, causes, wall, false)
 		}
 	})
 }
