--- a/cmd/cleatpick/main.go
+++ b/cmd/cleatpick/main.go
@@ -37,7 +37,6 @@
 type remote struct {
 	Endpoint string `help:"Controllers to ask, tried in turn: HOST:PORT,..." env:"CLEATPICK_ENDPOINT" placeholder:"LIST"`
 	KeyFile  string `help:"File that holds the key." env:"CLEATPICK_KEY_FILE" placeholder:"FILE"`
-	Key      string `kong:"-"`
 	JSON     bool   `name:"json" help:"Print JSON for programs."`
 }
 
--- a/internal/api/cluster.go
+++ b/internal/api/cluster.go
@@ -217,7 +217,7 @@
 				all[k] = s
 			}
 			s.Jobs++
-			causes, _ := a.n.Desk.Lines.Causes(j.ID)
+			causes := a.n.Desk.Lines.Causes(j.ID)
 			if len(causes) > 0 {
 				s.Waiting.Waiting++
 			}
--- a/internal/api/jobs.go
+++ b/internal/api/jobs.go
@@ -198,7 +198,7 @@
 		if out.Running > 0 {
 			out.State = "running"
 		}
-		causes, _ := a.n.Desk.Lines.Causes(j.ID)
+		causes := a.n.Desk.Lines.Causes(j.ID)
 		out.WaitingFor = explain.Sums(causes)
 	}
 	if j.At != 0 {
@@ -397,6 +397,5 @@
 }
 
 func (a *API) waitsFor(id string, k gate.Kind) bool {
-	causes, _ := a.n.Desk.Lines.Causes(id)
-	return slices.ContainsFunc(causes, func(c gate.Cause) bool { return c.Kind == k })
+	return slices.ContainsFunc(a.n.Desk.Lines.Causes(id), func(c gate.Cause) bool { return c.Kind == k })
 }
--- a/internal/cordon/cordon.go
+++ b/internal/cordon/cordon.go
@@ -98,8 +98,6 @@
 	all     []Cordon
 	damaged bool
 	version uint64
-	// Changed is called after the cordons in force have changed.
-	Changed func()
 }
 
 // NewBook makes the book; clockTo is twice the bound on the time of day.
@@ -138,9 +136,6 @@
 			}
 		})
 	}
-	if b.Changed != nil {
-		b.Changed()
-	}
 }
 
 // ended tells whether a cordon is over by every clock.
--- a/internal/explain/timeline.go
+++ b/internal/explain/timeline.go
@@ -18,7 +18,6 @@
 	kind     gate.Kind
 	from, to loop.Micros // time of day; to is 0 while it holds
 	tasks    int         // the most
-	now      int
 }
 
 // line is a job's timeline as this node keeps it.
@@ -27,7 +26,6 @@
 	dropped int
 	from    loop.Micros
 	causes  []gate.Cause
-	told    loop.Micros // when its owner last told of it
 	over    bool
 }
 
@@ -55,7 +53,6 @@
 		l = &line{from: wall}
 		t.lines[id] = l
 	}
-	l.told = wall
 	if l.over {
 		return false
 	}
@@ -65,7 +62,7 @@
 			continue
 		}
 		if s := l.find(c.Kind, open); s != nil {
-			s.now, s.tasks = c.Tasks, max(s.tasks, c.Tasks)
+			s.tasks = max(s.tasks, c.Tasks)
 			continue
 		}
 		changed = true
@@ -118,7 +115,7 @@
 
 // begin opens a span, or goes on with one that ended a moment ago.
 func (l *line) begin(c gate.Cause, wall loop.Micros, open *int) {
-	s := stretch{kind: c.Kind, from: wall, tasks: c.Tasks, now: c.Tasks}
+	s := stretch{kind: c.Kind, from: wall, tasks: c.Tasks}
 	if c.Since != 0 && c.Since < wall {
 		s.from = c.Since // its owner knows it for longer
 	}
@@ -136,7 +133,7 @@
 // end closes span i and moves it before those that still hold.
 func (l *line) end(i, open int, wall loop.Micros) {
 	s := l.spans[i]
-	s.to, s.now = wall, 0
+	s.to = wall
 	copy(l.spans[open+1:i+1], l.spans[open:i])
 	l.spans[open] = s
 }
@@ -174,12 +171,12 @@
 	return causes
 }
 
-// Causes are the causes last told of a job, and when.
-func (t *Timelines) Causes(id string) ([]gate.Cause, loop.Micros) {
+// Causes are the causes last told of a job.
+func (t *Timelines) Causes(id string) []gate.Cause {
 	if l := t.lines[id]; l != nil {
-		return l.causes, l.told
+		return l.causes
 	}
-	return nil, 0
+	return nil
 }
 
 // Of is a job's timeline in its printed form.
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -74,14 +74,6 @@
 
 func seconds(d loop.Micros) float64 { return float64(d) / 1e6 }
 
-// Gauge adds a figure that is read when it is asked for. It is read off the loop, so f
-// must be safe there.
-func (m *Meter) Gauge(name, help string, f func() float64) {
-	if m != nil {
-		m.reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "cleatpick", Name: name, Help: help}, f))
-	}
-}
-
 // Watch follows how late the loop's timers run.
 func (m *Meter) Watch(r loop.Runner) {
 	if m == nil {
--- a/internal/node/explain.go
+++ b/internal/node/explain.go
@@ -5,11 +5,10 @@
 	"slices"
 	"strings"
 
-	"cleatpick/internal/agent"
 	"cleatpick/internal/api"
 	"cleatpick/internal/ask"
-	"cleatpick/internal/cordon"
 	"cleatpick/internal/explain"
+	"cleatpick/internal/fleet"
 	"cleatpick/internal/gate"
 	"cleatpick/internal/job"
 	"cleatpick/internal/loop"
@@ -116,7 +115,7 @@
 		if !j.Final() && j.Spec != nil && free[j.Spec.Team] {
 			c := n.progress[j.ID]
 			// What was told last holds as far as anybody knows: the next owner goes on with it.
-			last, _ := n.more.desk.Lines.Causes(j.ID)
+			last := n.more.desk.Lines.Causes(j.ID)
 			causes := slices.DeleteFunc(slices.Clone(last), func(c gate.Cause) bool { return c.Kind == gate.NoOwner })
 			causes = append(causes, gate.Cause{Kind: gate.NoOwner, Tasks: j.Tasks - int(c.Done+c.Running)})
 			n.more.desk.Lines.Set(j.ID, causes, wall, false)
@@ -165,17 +164,13 @@
 			at := explain.Time(v.NoticeAt)
 			m.LeavesAt = &at
 		}
-		m.Cordons = n.cordons.Barring(placeOf(v))
+		m.Cordons = n.cordons.Barring(fleet.Where(v))
 		out = append(out, m)
 	})
 	slices.SortFunc(out, func(a, b api.Machine) int { return strings.Compare(a.Name, b.Name) })
 	return out
 }
 
-func placeOf(v *agent.View) cordon.Place {
-	return cordon.Place{Machine: v.Name, Type: v.Type, Zone: v.Zone, Spot: v.Spot}
-}
-
 // unseen asks every owner how many starts may still begin behind a cordon.
 func (n *Node) unseen(name string, cb func(starts int, ok bool)) {
 	owners := map[string]bool{}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,6 +11,7 @@
 	"cleatpick/internal/agent"
 	"cleatpick/internal/config"
 	"cleatpick/internal/cordon"
+	"cleatpick/internal/fleet"
 	"cleatpick/internal/front"
 	"cleatpick/internal/job"
 	"cleatpick/internal/loop"
@@ -333,7 +334,7 @@
 	switch {
 	case j.Terms.Hold.State != job.HoldNone && j.Terms.Hold.Shut(n.loop.Wall()):
 		return "held"
-	case n.cordons.Barred(placeOf(v)):
+	case n.cordons.Barred(fleet.Where(v)):
 		return "cordoned"
 	}
 	return ""
--- a/internal/placer/rivals.go
+++ b/internal/placer/rivals.go
@@ -93,6 +93,9 @@
 	lifted := f.FitsAll > f.Fits || (f.Barred && f.Fits < n) // a cordon is among its reasons
 	q, within := p.lineWith(t)
 	self := entryOf{t, within, t.turn()}
+	if f.Within = within; short == 0 && !limited && !lifted {
+		return // there is room that work before it has missed
+	}
 	all := p.rivals(q, &self, limited, lifted, short, types)
 	coming := 0
 	for _, r := range all {
@@ -100,9 +103,6 @@
 			coming += r.n
 		}
 	}
-	if f.Within = within; short == 0 && !limited && !lifted {
-		return // there is room that work before it has missed
-	}
 	f.Behind, f.Exact = min(short, coming), true
 	// What is shut for others too may be open for them when it is for this job: the
 	// team's limit, and cordons. They then go first to the room that is there.
