--- a/cmd/cleatpick/serve.go
+++ b/cmd/cleatpick/serve.go
@@ -34,6 +34,8 @@
 		return nil
 	}
 	// The machines are small: the collector is told how much there is.
+	// Well below that it may take its time, since the core is small too.
+	debug.SetGCPercent(200)
 	debug.SetMemoryLimit(int64(cfg.Cluster.Limits.RAMMB * 0.6 * (1 << 20)))
 	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -44,22 +44,24 @@
 
 // machine is a machine that reports to this node.
 type machine struct {
-	view     View
-	state    HostState
-	token    uint64
-	tokenAt  loop.Micros // time of day before which nobody had the token
-	check    bool        // an owner asks for a task list that is certainly new
-	pending  map[key]*pending
-	refused  map[key]loop.Micros // dropped starts, remembered until they have expired
-	reserved map[key]loop.Micros // room that owners have chosen and are still recording, and for how long
-	stops    map[key]request
-	direct   bool
-	flushing bool
-	touching bool
-	closeTo  loop.Micros
-	heard    loop.Micros
-	sent     loop.Micros // when the view was last published
-	dirty    bool
+	view       View
+	state      HostState
+	token      uint64
+	tokenAt    loop.Micros // time of day before which nobody had the token
+	check      bool        // an owner asks for a task list that is certainly new
+	pending    map[key]*pending
+	refused    map[key]loop.Micros // dropped starts, remembered until they have expired
+	reserved   map[key]loop.Micros // room that owners have chosen and are still recording, and for how long
+	stops      map[key]request
+	direct     bool
+	flushing   bool
+	touching   bool
+	closeTo    loop.Micros
+	heard      loop.Micros
+	sent       loop.Micros // when the view was last published
+	dirty      bool
+	told       *View // as last published: what deltas are told against
+	publishing bool
 }
 
 // Direct sends commands straight to a worker; it blocks, and runs off the loop.
@@ -79,10 +81,11 @@
 	Raise  func(done func())
 	Type   func(name string) (wire.MachineType, bool)
 	Job    func(id string) *job.Job
-	// Publish hands changed views of hosted machines to the peers.
-	Publish func([]*View)
-	// Changed is called for every newer view, of any node.
-	Changed func(*View)
+	// Publish hands what changed of hosted machines to the peers.
+	Publish func(News)
+	// Changed is called for every newer view, of any node, with how it differs from the
+	// one of the call before.
+	Changed func(*View, *Changes)
 	Drop    func(to string, d Drop)
 	// Barred tells why no start of the job may reach the machine now, beyond the job
 	// being over: a hold, a cordon. It may be nil.
@@ -100,6 +103,8 @@
 	views  map[string]*View
 	gone   map[string]bool
 	sentOn map[string]loop.Micros
+
+	toPublish []*machine
 }
 
 // New makes the machine room.
@@ -201,11 +206,19 @@
 	} else {
 		a.setState(m, Taking)
 	}
-	if !sameTasks(v.Tasks, r.Tasks) || v.Session != r.Session || (v.NoticeAt == 0) != (r.NoticeS == nil) {
+	before := *v
+	v.Tasks = make([]Task, 0, len(r.Tasks))
+	for _, t := range r.Tasks {
+		v.Tasks = append(v.Tasks, Task{t.Task, t.Attempt, t.State, t.Why, t.Saved})
+	}
+	v.Session = r.Session
+	c := v.Since(&before)
+	v.inherit(&before, &c)
+	if !c.Same() || (v.NoticeAt == 0) != (r.NoticeS == nil) {
 		m.dirty = true
 	}
 	v.Name, v.Addr, v.Type, v.Zone, v.Spot, v.Host = r.Machine, r.Addr, r.Type, r.Zone, r.Spot, a.h.Label
-	v.Session, v.Seq = r.Session, r.Seq
+	v.Seq = r.Seq
 	m.heard = now
 	if r.Token == m.token {
 		v.At = max(v.At, madeAfter)
@@ -214,10 +227,6 @@
 	if r.NoticeS != nil {
 		v.NoticeAt = wall + loop.Seconds(*r.NoticeS)
 	}
-	v.Tasks = make([]Task, 0, len(r.Tasks))
-	for _, t := range r.Tasks {
-		v.Tasks = append(v.Tasks, Task{t.Task, t.Attempt, t.State, t.Why, t.Saved})
-	}
 	for k, p := range m.pending {
 		switch {
 		case v.Find(k.task, k.attempt) != nil:
@@ -233,18 +242,6 @@
 	a.expire(m, wall)
 }
 
-func sameTasks(a []Task, b []wire.ReportTask) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i].Task != b[i].Task || a[i].Attempt != b[i].Attempt || a[i].State != b[i].State {
-			return false
-		}
-	}
-	return true
-}
-
 // expire forgets starts that may not be carried out any more and cannot be on their way.
 func (a *Agent) expire(m *machine, wall loop.Micros) {
 	for k, p := range m.pending {
@@ -282,9 +279,10 @@
 			out = append(out, wire.Command{Op: wire.OpStop, Task: k.task, Attempt: k.attempt, GraceS: &g})
 		}
 	}
+	jobs := a.Jobs(&m.view)
 	for i := range m.view.Tasks {
 		t := &m.view.Tasks[i]
-		j := a.job(t.Task)
+		j := jobs[i]
 		if j == nil || !j.Final() {
 			continue
 		}
@@ -338,12 +336,22 @@
 	v.Rev++
 	c := *v
 	c.resolved = false
-	a.views[v.Name] = &c
 	if m.dirty || now-m.sent > 2*loop.Second {
-		m.dirty, m.sent = false, now
-		a.h.Publish([]*View{&c})
+		m.dirty = false
+		a.publishSoon(m)
+	}
+	a.renew(&c)
+}
+
+// renew makes v the newest view of its machine.
+func (a *Agent) renew(v *View) {
+	old := a.views[v.Name]
+	c := v.Since(old)
+	if v.jobs == nil {
+		v.inherit(old, &c)
 	}
-	a.h.Changed(&c)
+	a.views[v.Name] = v
+	a.h.Changed(v, &c)
 }
 
 // listPending lists the starts that may still be carried out, and those to come.
@@ -440,19 +448,15 @@
 		a.setState(m, Elsewhere)
 		delete(a.hosted, v.Name)
 	}
-	a.views[v.Name] = v
-	a.h.Changed(v)
+	a.renew(v)
 }
 
 // Republish hands all hosted machines' views out, as after a peer came back.
 func (a *Agent) Republish() {
-	var all []*View
 	for _, m := range a.hosted {
-		if v := a.views[m.view.Name]; v != nil {
-			all = append(all, v)
-		}
+		m.told = nil
+		a.publishSoon(m)
 	}
-	a.h.Publish(all)
 }
 
 // Start takes on an owner's start, or drops it and says so.
@@ -653,7 +657,7 @@
 
 // Jobs are the jobs of a view's tasks, in their order; nil where one is not known here.
 func (a *Agent) Jobs(v *View) []*job.Job {
-	v.resolve(a.h.Job)
+	v.lookUp(a.h.Job)
 	return v.jobs
 }
 
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -48,7 +48,7 @@
 			}
 			return nil
 		},
-		Publish: func([]*View) {}, Changed: func(*View) {}, Drop: func(_ string, d Drop) { g.drops = append(g.drops, d) },
+		Publish: func(News) {}, Changed: func(*View, *Changes) {}, Drop: func(_ string, d Drop) { g.drops = append(g.drops, d) },
 	}, func(_ string, c wire.Commands, _ time.Duration) store.Response {
 		g.sent = append(g.sent, c)
 		return g.resp
--- /dev/null
+++ b/internal/agent/delta_test.go
@@ -0,0 +1,158 @@
+package agent
+
+import (
+	"fmt"
+	"reflect"
+	"slices"
+	"testing"
+
+	"cleatpick/internal/wire"
+
+	"pgregory.net/rapid"
+)
+
+// drawTasks changes a task list as a worker would, and now and then as none would.
+func drawTasks(t *rapid.T, old []Task, next *int) []Task {
+	out := slices.Clone(old)
+	for range rapid.IntRange(0, 4).Draw(t, "changes") {
+		switch n := len(out); rapid.IntRange(0, 4).Draw(t, "change") {
+		case 0, 1:
+			*next++
+			out = append(out, Task{Task: fmt.Sprintf("job-%d/%d", *next/7, *next), Attempt: uint64(rapid.IntRange(1, 3).Draw(t, "attempt")), State: wire.TaskFetching})
+		case 2:
+			if n > 0 {
+				i := rapid.IntRange(0, n-1).Draw(t, "ends")
+				out[i].State, out[i].Why = wire.TaskExited, wire.WhyDone
+			}
+		case 3:
+			if n > 0 {
+				i := rapid.IntRange(0, n-1).Draw(t, "forgotten")
+				out = slices.Delete(out, i, i+1)
+			}
+		case 4: // another order: legal, and only dearer
+			if n > 1 {
+				i := rapid.IntRange(0, n-2).Draw(t, "swapped")
+				out[i], out[i+1] = out[i+1], out[i]
+			}
+		}
+	}
+	return out
+}
+
+// A view that was told by differences is the view that was meant, whatever was lost,
+// repeated or late in between; where it cannot be, the full one is asked for. The changes
+// that a view is said to hold are those that a plain look finds.
+func TestDeltasTellTheSameViews(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		next := 0
+		host := &View{Name: "n-1", Addr: "x", Host: "b", Session: 1, Tasks: []Task{}}
+		var told *View // by the host
+		a := newRig().a
+		var late [][]byte
+		for range rapid.IntRange(1, 25).Draw(t, "steps") {
+			v := *host
+			v.Tasks = drawTasks(t, host.Tasks, &next)
+			v.Rev++
+			if rapid.Bool().Draw(t, "report") {
+				v.Seq++
+			}
+			if rapid.IntRange(0, 9).Draw(t, "session") == 0 {
+				v.Session, v.Seq, v.Tasks = v.Session+1, 1, []Task{}
+			}
+			v.Settled, v.At = rapid.Bool().Draw(t, "settled"), v.At+1
+			plainChanges(t, host, &v)
+			host = &v
+			if rapid.IntRange(0, 2).Draw(t, "gather") == 0 {
+				continue
+			}
+			d, ok := v.deltaTo(told)
+			told = host
+			if !ok {
+				if rapid.IntRange(0, 4).Draw(t, "lost full") != 0 {
+					c := v
+					a.Learn(&c)
+				}
+				continue
+			}
+			frame := wire.Marshal(d)
+			switch rapid.IntRange(0, 5).Draw(t, "way") {
+			case 0: // lost
+				continue
+			case 1:
+				late = append(late, frame)
+				continue
+			}
+			deliver(t, a, frame, host)
+			if len(late) > 0 && rapid.Bool().Draw(t, "late") {
+				deliver(t, a, late[0], nil)
+				late = late[1:]
+			}
+		}
+	})
+}
+
+// deliver hands a delta over. want is what it tells; nil when it is late.
+func deliver(t *rapid.T, a *Agent, frame []byte, want *View) {
+	d := new(Delta)
+	if err := wire.Unmarshal(frame, d); err != nil {
+		t.Fatal(err)
+	}
+	before := a.View(d.Name)
+	lost := a.LearnDelta("b", d)
+	have := a.View(d.Name)
+	switch {
+	case want == nil && before != nil && have != before && have.Rev <= before.Rev && have.Session == before.Session:
+		t.Fatal("a late delta brought an older view back")
+	case want != nil && lost:
+		c := *want // it is asked for
+		a.Learn(&c)
+	case want != nil:
+		h, w := *have, *want
+		h.jobs, w.jobs, h.used, w.used, h.resolved, w.resolved = nil, nil, Room{}, Room{}, false, false
+		if len(h.Tasks) == len(w.Tasks) && len(h.Tasks) == 0 {
+			h.Tasks, w.Tasks = nil, nil
+		}
+		if !reflect.DeepEqual(h, w) {
+			t.Fatalf("learnt %+v, told %+v", h, w)
+		}
+	}
+}
+
+// plainChanges compares Since with a look at every task.
+func plainChanges(t *rapid.T, old, v *View) {
+	c := v.Since(old)
+	if c.All {
+		if old.Session == v.Session {
+			t.Fatal("nothing is taken over within a session")
+		}
+		return
+	}
+	for k, i := range c.From {
+		if i >= 0 && v.Tasks[k] != old.Tasks[i] {
+			t.Fatalf("%+v counts as unchanged since %+v", v.Tasks[k], old.Tasks[i])
+		}
+	}
+	for i := range old.Tasks {
+		if at := v.Find(old.Tasks[i].Task, old.Tasks[i].Attempt); (at == nil || *at != old.Tasks[i]) && !slices.Contains(c.Gone, i) {
+			t.Fatalf("%+v has gone or changed, and is not said to have", old.Tasks[i])
+		}
+	}
+	if c.Same() != slices.Equal(old.Tasks, v.Tasks) {
+		t.Fatalf("same: %v", c.Same())
+	}
+}
+
+// A delta from a peer that is broken must do no harm.
+func FuzzDelta(f *testing.F) {
+	f.Add(wire.Marshal(&Delta{Name: "n-1", Session: 1, BaseSeq: 1, BaseRev: 1, Seq: 2, Rev: 2, Gone: []int{-1, 7, 0}, New: []Placed{{At: 1 << 40}}}))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		d := new(Delta)
+		if wire.Unmarshal(raw, d) != nil {
+			return
+		}
+		base := &View{Name: "n-1", Session: d.Session, Seq: d.BaseSeq, Rev: d.BaseRev, Tasks: []Task{{Task: "j/0", Attempt: 1}, {Task: "j/1", Attempt: 1}}}
+		if v := d.apply(base); v != nil && len(v.Tasks) != len(base.Tasks)-len(d.Gone)+len(d.New) {
+			t.Fatal("tasks were lost")
+		}
+	})
+}
--- a/internal/agent/view.go
+++ b/internal/agent/view.go
@@ -55,11 +55,9 @@
 	}
 	all := true
 	v.used = Room{}
-	v.jobs = make([]*job.Job, len(v.Tasks))
+	v.lookUp(find)
 	for i := range v.Tasks {
-		id, _, _ := SplitTask(v.Tasks[i].Task)
-		j := find(id)
-		v.jobs[i] = j
+		j := v.jobs[i]
 		if !v.Tasks[i].Active() {
 			continue
 		}
@@ -86,6 +84,19 @@
 	return all
 }
 
+// lookUp finds the jobs of the tasks; most were found for a view before.
+func (v *View) lookUp(find func(id string) *job.Job) {
+	if len(v.jobs) != len(v.Tasks) {
+		v.jobs = make([]*job.Job, len(v.Tasks))
+	}
+	for i := range v.Tasks {
+		if v.jobs[i] == nil {
+			id, _, _ := SplitTask(v.Tasks[i].Task)
+			v.jobs[i] = find(id)
+		}
+	}
+}
+
 // newer tells whether v says more than old about the same machine.
 func (v *View) newer(old *View) bool {
 	if old == nil {
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -24,10 +24,13 @@
 func NewFailures() *Failures { return &Failures{machines: map[string]*machineFailures{}} }
 
 // View takes in a machine's newer view.
-func (h *Failures) View(now loop.Micros, v *agent.View) {
+func (h *Failures) View(now loop.Micros, v *agent.View, c *agent.Changes) {
 	var m *machineFailures
 	for i := range v.Tasks {
 		t := &v.Tasks[i]
+		if !c.All && c.From[i] >= 0 {
+			continue // counted when it was new
+		}
 		if t.Active() || (t.Why != wire.WhyDone && t.Why != wire.WhyError) {
 			continue
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -113,11 +113,14 @@
 		Raise:     n.member.RaiseEpoch,
 		Type:      func(name string) (wire.MachineType, bool) { return n.rental.Type(name) },
 		Job:       n.book.Get,
-		Publish: func(v []*agent.View) {
-			n.net.All(func(e *peer.Envelope) { e.Views = append(e.Views, v...) })
+		Publish: func(news agent.News) {
+			n.net.All(func(e *peer.Envelope) {
+				e.Views = append(e.Views, news.Views...)
+				e.Deltas = append(e.Deltas, news.Deltas...)
+			})
 		},
-		Changed: func(v *agent.View) {
-			n.placer.View(v)
+		Changed: func(v *agent.View, c *agent.Changes) {
+			n.placer.View(v, c)
 			n.rental.View(v)
 		},
 		Drop: func(to string, d agent.Drop) {
@@ -248,6 +251,7 @@
 			n.agent.Learn(v)
 		}
 	}
+	n.deltas(e)
 	for _, c := range e.Closes {
 		n.agent.Close(c.Machine, c.Until)
 	}
@@ -282,6 +286,23 @@
 	n.placer.LearnClaims(e.Claims)
 }
 
+// deltas takes in how machines have changed at a peer, and asks for what cannot be told
+// by that here.
+func (n *Node) deltas(e *peer.Envelope) {
+	var lost []string
+	for _, d := range e.Deltas {
+		if d != nil && d.Name != "" && n.agent.LearnDelta(e.From, d) {
+			lost = append(lost, d.Name)
+		}
+	}
+	if len(lost) > 0 {
+		n.net.To(e.From, func(o *peer.Envelope) { o.Lost = append(o.Lost, lost...) })
+	}
+	if views := n.agent.Full(e.Lost); len(views) > 0 {
+		n.net.To(e.From, func(o *peer.Envelope) { o.Views = append(o.Views, views...) })
+	}
+}
+
 const contactAge = 2500 * loop.Millisecond
 
 // contact tells whether the state service answers this node.
--- a/internal/node/sim_test.go
+++ b/internal/node/sim_test.go
@@ -105,20 +105,26 @@
 			w.at(0, w.live)
 			w.at(0, w.checkCancelled)
 			w.run(3600*loop.Second + 600*loop.Second)
-			for _, j := range w.jobs {
-				if !j.accepted {
-					t.Errorf("%s was never accepted", j.id)
-				}
-				if !j.done && j.withdrawn == 0 && !j.broken {
-					t.Errorf("%s is not done at the end", j.id)
-				}
-			}
-			if w.starts < 50 {
-				t.Errorf("only %d tasks were started", w.starts)
-			}
-			if n := len(w.active); n > 0 {
-				t.Errorf("%d tasks are still on machines", n)
-			}
+			w.settled(50)
 		})
 	}
 }
+
+// settled checks that everything got done once the troubles were over.
+func (w *world) settled(starts int) {
+	w.t.Helper()
+	for _, j := range w.jobs {
+		if !j.accepted {
+			w.t.Errorf("%s was never accepted", j.id)
+		}
+		if !j.done && j.withdrawn == 0 && !j.broken {
+			w.t.Errorf("%s is not done at the end", j.id)
+		}
+	}
+	if w.starts < starts {
+		w.t.Errorf("only %d tasks were started", w.starts)
+	}
+	if n := len(w.active); n > 0 {
+		w.t.Errorf("%d tasks are still on machines", n)
+	}
+}
--- /dev/null
+++ b/internal/node/together_test.go
@@ -0,0 +1,187 @@
+package node
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"testing"
+
+	"cleatpick/internal/config"
+	"cleatpick/internal/loop"
+)
+
+// freeze lets a node's process stand still for a while. Its clocks run on; all that
+// reaches it meanwhile waits, and comes in any order when it wakes.
+func (w *world) freeze(label string, d loop.Micros) {
+	s := w.nodes[label]
+	if !s.alive || s.frozen {
+		return
+	}
+	s.frozen = true
+	gen := s.gen
+	w.at(d, func() {
+		if s.gen != gen || !s.alive {
+			return
+		}
+		held := s.held
+		s.frozen, s.held = false, nil
+		w.rng.Shuffle(len(held), func(a, b int) { held[a], held[b] = held[b], held[a] })
+		for _, f := range held {
+			w.at(w.between(0, 20*loop.Millisecond), f)
+		}
+	})
+}
+
+// present lists the machines that are up, by name.
+func (w *world) present() []string {
+	var names []string
+	for name, x := range w.workers {
+		if !x.gone {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
+// some picks a part of the machines that are up, but at least one.
+func (w *world) some(part float64) []string {
+	names := w.present()
+	w.rng.Shuffle(len(names), func(a, b int) { names[a], names[b] = names[b], names[a] })
+	return names[:min(len(names), int(part*float64(len(names)))+1)]
+}
+
+func (w *world) hang(names []string, d loop.Micros) {
+	for _, name := range names {
+		x := w.workers[name]
+		x.hanging = true
+		w.at(d, func() { x.hanging = false })
+	}
+}
+
+// die stops machines by themselves: nobody is told, and the cloud lists them for longer.
+func (w *world) die(names []string) {
+	for _, name := range names {
+		if x := w.workers[name]; !x.gone {
+			x.gone = true
+			x.w.Destroy()
+			w.cloud.Die(name)
+		}
+	}
+}
+
+// cutZone cuts a zone off from everything outside it, the state service and the cloud
+// included; its nodes and machines go on within.
+func (w *world) cutZone(zone string, mode cutMode, d loop.Micros) {
+	names := []string{}
+	for _, a := range w.labels {
+		if w.nodes[a].zone != zone {
+			continue
+		}
+		names = append(names, a+">state", a+">cloud")
+		for _, b := range w.labels {
+			if w.nodes[b].zone != zone {
+				names = append(names, a+">"+b, b+">"+a)
+			}
+		}
+	}
+	w.zoneCut[zone] = mode
+	for _, n := range names {
+		w.cut[n] = mode
+	}
+	w.at(d, func() {
+		delete(w.zoneCut, zone)
+		for _, n := range names {
+			delete(w.cut, n)
+		}
+	})
+}
+
+// A trouble of the larger fleet is something that many machines, or a node with all that
+// it believes, fall to in one moment.
+var together = []struct {
+	name string
+	do   func(w *world)
+}{
+	{"freeze", func(w *world) {
+		// Shorter and longer than the node's lease (4 s), a start's expiry (6 s), a
+		// worker's lease (10 s) and a cancellation (30 s).
+		d := [...][2]loop.Micros{{1, 4}, {4, 6}, {6, 10}, {10, 30}, {30, 40}}[w.rng.IntN(5)]
+		w.freeze(w.labels[w.rng.IntN(len(w.labels))], w.between(d[0]*loop.Second, d[1]*loop.Second))
+	}},
+	{"hangs", func(w *world) { w.hang(w.some(0.1+0.3*w.rng.Float64()), w.between(3*loop.Second, 9*loop.Second)) }},
+	{"long hangs", func(w *world) { w.hang(w.some(0.1+0.3*w.rng.Float64()), w.between(10*loop.Second, 22*loop.Second)) }},
+	{"deaths", func(w *world) { w.die(w.some(0.1 + 0.3*w.rng.Float64())) }},
+	{"zone", func(w *world) {
+		w.cutZone(w.zones[w.rng.IntN(len(w.zones))], []cutMode{dropping, holding}[w.rng.IntN(2)], w.between(5*loop.Second, 45*loop.Second))
+	}},
+	{"crash", func(w *world) { w.kill(w.labels[w.rng.IntN(len(w.labels))]) }},
+	{"all crash", func(w *world) {
+		for _, l := range w.labels {
+			w.kill(l)
+		}
+	}},
+	{"outage", func(w *world) {
+		w.state.SetDown(true)
+		w.at(w.between(2*loop.Second, 20*loop.Second), func() { w.state.SetDown(false) })
+	}},
+	{"full cloud", func(w *world) {
+		kept := w.cloud.Take()
+		w.at(w.between(10*loop.Second, 40*loop.Second), func() { w.cloud.Give(kept) })
+	}},
+}
+
+// moment lets one or two troubles come together, and others later.
+func (w *world) moment(until loop.Micros) {
+	first := w.rng.IntN(len(together))
+	together[first].do(w)
+	if w.rng.IntN(2) == 0 {
+		second := together[w.rng.IntN(len(together))]
+		w.at(w.between(0, 3*loop.Second), func() { second.do(w) })
+	}
+	w.at(w.between(6*loop.Second, 30*loop.Second), func() {
+		if w.now < until {
+			w.moment(until)
+		}
+	})
+}
+
+// drawSize draws how large a deployment is: mostly small, since troubles are as bad
+// there, but up to 15 nodes, 6 zones and some hundreds of machines.
+func drawSize(r *rand.Rand) size {
+	z := size{nodes: 1 + r.IntN(5), zones: 1 + r.IntN(3), each: 2 + r.IntN(8)}
+	switch r.IntN(8) {
+	case 0:
+		z = size{nodes: 1 + r.IntN(15), zones: 1 + r.IntN(6), each: 2 + r.IntN(50)}
+	case 1:
+		z = size{nodes: 1, zones: 1, each: 3 + r.IntN(10)}
+	}
+	return z
+}
+
+// Many machines fall in one moment, nodes stand still and wake with all that queued, a
+// zone is cut off beside it: no rule may break, and afterwards everything gets done.
+func TestRulesWhenManyFallTogether(t *testing.T) {
+	from, to := seeds(t, 1, 12)
+	for seed := from; seed <= to; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			r := rand.New(rand.NewPCG(seed, 11))
+			z := drawSize(r)
+			w := newWorldOf(t, seed, z, func(c *config.Config) {
+				n := float64(z.zones * z.each * 8)
+				c.Cluster.Teams = []config.Team{{Name: "red", CPUs: n / 5, CPUsMax: max(n/3, 8)}, {Name: "blue", CPUs: n / 8, CPUsMax: max(n/2, 8)}}
+			})
+			w.cloud.Lag = loop.Micros(r.IntN(3)) * loop.Second
+			jobs := 30 + z.zones*z.each/4
+			for i := range jobs {
+				w.at(w.between(loop.Second, 120*loop.Second), func() { w.addJob(i) })
+			}
+			w.at(15*loop.Second, func() { w.moment(3600*loop.Second + 130*loop.Second) })
+			w.at(0, w.live)
+			w.at(0, w.checkCancelled)
+			w.run(3600*loop.Second + 600*loop.Second)
+			w.settled(30)
+		})
+	}
+}
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -69,6 +69,8 @@
 	cfg     config.Config
 	starts  int
 	onBegan func(x *simWorker, task string)
+	zones   []string           // of the machines; nodes stand in them in turn
+	zoneCut map[string]cutMode // zones that are cut off from all others
 }
 
 type cutMode int
@@ -84,6 +86,10 @@
 	alive bool
 	gen   int
 	off   loop.Micros
+	zone  string
+	// frozen: the process stands still while its clocks run on; held is what came meanwhile.
+	frozen bool
+	held   []func()
 }
 
 type simWorker struct {
@@ -127,13 +133,31 @@
 func (r runner) Wall() loop.Micros { return 1_700_000_000_000_000 + r.w.now + r.s.off }
 func (r runner) Post(f func())     { r.After(0, f) }
 func (r runner) After(d loop.Micros, f func()) {
-	r.w.at(d, func() {
-		if r.s.alive && r.s.gen == r.gen {
+	r.w.at(d, func() { r.s.enter(r.gen, f) })
+}
+
+// Go lets a request take its time. One that is on its way when the process freezes is
+// carried out, and only its answer waits; one that is not waits too.
+func (r runner) Go(f func()) {
+	r.w.at(r.w.between(loop.Millisecond, 8*loop.Millisecond), func() {
+		if r.s.frozen && r.s.alive && r.s.gen == r.gen && r.w.rng.IntN(2) == 0 {
 			f()
+			return
 		}
+		r.s.enter(r.gen, f)
 	})
 }
-func (r runner) Go(f func()) { r.After(r.w.between(loop.Millisecond, 8*loop.Millisecond), f) }
+
+// enter runs f in that life of the process, or keeps it until the process wakes.
+func (s *simNode) enter(gen int, f func()) {
+	switch {
+	case !s.alive || s.gen != gen:
+	case s.frozen:
+		s.held = append(s.held, func() { s.enter(gen, f) })
+	default:
+		f()
+	}
+}
 
 func (w *world) between(a, b loop.Micros) loop.Micros { return a + w.rng.Int64N(b-a+1) }
 
@@ -151,7 +175,22 @@
 }
 
 func (w *world) cross(name string, f func() store.Response) store.Response {
-	switch w.cut[name] {
+	return w.crossBy(w.cut[name], f)
+}
+
+// toWorker is how a node and a machine reach each other.
+func (w *world) toWorker(label string, x *simWorker) cutMode {
+	if m := w.cut[label+">workers"]; m != open {
+		return m
+	}
+	if z := w.nodes[label].zone; z != x.w.Zone {
+		return max(w.zoneCut[z], w.zoneCut[x.w.Zone])
+	}
+	return open
+}
+
+func (w *world) crossBy(mode cutMode, f func() store.Response) store.Response {
+	switch mode {
 	case dropping:
 		return store.Response{Err: errLost}
 	case holding:
@@ -176,13 +215,26 @@
 }
 
 func newWorldWith(t testing.TB, seed uint64, settings func(*config.Config)) *world {
-	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 7)), now: 3600 * loop.Second, labels: []string{"a", "b", "c"},
+	return newWorldOf(t, seed, size{nodes: 3, zones: 2, each: 6}, settings)
+}
+
+// size is how large a world is: each is the number of machines in each zone.
+type size struct{ nodes, zones, each int }
+
+func newWorldOf(t testing.TB, seed uint64, z size, settings func(*config.Config)) *world {
+	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 7)), now: 3600 * loop.Second, zoneCut: map[string]cutMode{},
 		nodes: map[string]*simNode{}, workers: map[string]*simWorker{}, jobs: map[string]*simJob{}, cut: map[string]cutMode{},
 		active: map[string]string{}, doneT: map[string]bool{}, teams: map[string]float64{}}
+	for i := range z.nodes {
+		w.labels = append(w.labels, string(rune('a'+i)))
+	}
+	for i := range z.zones {
+		w.zones = append(w.zones, []string{"x", "y", "z", "u", "v", "w"}[i])
+	}
 	c := &w.cfg
 	c.Operator = config.Defaults()
 	c.Operator.StandbyMeanS, c.Operator.OrdinaryStandbyMeanS = 30, 20
-	c.Cluster.Nodes = 3
+	c.Cluster.Nodes = z.nodes
 	c.Cluster.ClockOffMS = 100
 	c.Cluster.Teams = []config.Team{{Name: "red", CPUs: 16, CPUsMax: 24}, {Name: "blue", CPUs: 8, CPUsMax: 40}}
 	c.Cluster.Workers.ReportS, c.Cluster.Workers.LeaseS, c.Cluster.Workers.CancelS = 1, 10, 30
@@ -191,11 +243,14 @@
 	c.Cluster.Limits.RAMMB, c.Cluster.Limits.MaxSockets = 100, 500
 	settings(c)
 	w.state = standin.NewState(func() loop.Micros { return w.now })
-	w.cloud = standin.NewCloud(wire.MachineType{Name: "m8", CPUs: 8, MemoryGB: 32, CacheGB: 20, FetchGBs: 1, Price: 1, SpotPrice: 0.3, BootS: 4, Zones: []string{"x", "y"}}, 6)
+	w.cloud = standin.NewCloud(wire.MachineType{Name: "m8", CPUs: 8, MemoryGB: 32, CacheGB: 20, FetchGBs: 1, Price: 1, SpotPrice: 0.3, BootS: 4, Zones: w.zones}, z.each)
+	w.cloud.Now = func() loop.Micros { return w.now }
 	w.cloud.Up = func(m wire.Listed) { w.at(w.between(2*loop.Second, 8*loop.Second), func() { w.boot(m) }) }
 	w.cloud.Gone = w.destroy
 	for i, l := range w.labels {
-		w.nodes[l] = &simNode{off: loop.Micros(i-1) * 90 * loop.Millisecond}
+		w.nodes[l] = &simNode{off: loop.Micros(i%3-1) * 90 * loop.Millisecond, zone: w.zones[i%len(w.zones)]}
+	}
+	for _, l := range w.labels {
 		w.startNode(l)
 	}
 	return w
@@ -225,11 +280,12 @@
 	}
 	s.alive = true
 	s.gen++
+	s.frozen, s.held = false, nil
 	cfg := w.cfg
 	cfg.Label = label
 	for _, p := range w.labels {
 		if p != label {
-			cfg.Known = append(cfg.Known, config.Peer{Label: p, Endpoint: p + ":1"})
+			cfg.Known = append(cfg.Known, config.Peer{Label: p, Site: w.nodes[p].zone, Endpoint: p + ":1"})
 		}
 	}
 	r := runner{w, s, s.gen}
@@ -254,13 +310,14 @@
 }
 
 func (w *world) frame(to string, f []byte) {
-	if s := w.nodes[to]; s.alive {
+	s := w.nodes[to]
+	s.enter(s.gen, func() {
 		e := new(peer.Envelope)
 		if err := wire.Unmarshal(f, e); err != nil {
 			w.fail("a frame cannot be read: %v", err)
 		}
 		s.n.net.Take(e)
-	}
+	})
 }
 
 func (w *world) kill(label string) {
@@ -274,7 +331,7 @@
 	if x == nil || x.gone || x.hanging {
 		return store.Response{Err: errLost}
 	}
-	return w.cross(from+">workers", func() store.Response {
+	return w.crossBy(w.toWorker(from, x), func() store.Response {
 		if x.gone || x.hanging {
 			return store.Response{Err: errLost}
 		}
@@ -291,7 +348,7 @@
 }
 
 func (w *world) boot(m wire.Listed) {
-	x := &simWorker{w: standin.NewWorker(w.now, loop.Seconds(w.cfg.Cluster.Workers.LeaseS)), at: w.rng.IntN(3)}
+	x := &simWorker{w: standin.NewWorker(w.now, loop.Seconds(w.cfg.Cluster.Workers.LeaseS)), at: w.rng.IntN(len(w.labels))}
 	x.w.Name, x.w.Addr, x.w.Type, x.w.Zone, x.w.Spot = m.Name, m.Addr, m.Type, m.Zone, m.Spot
 	x.w.CPUs, x.w.MemoryGB = w.cloud.Types[0].CPUs, w.cloud.Types[0].MemoryGB
 	x.w.Job = func(id string) (standin.Job, bool) {
@@ -338,44 +395,44 @@
 	s := w.nodes[label]
 	answered := false
 	next := func() {
-		x.at = (x.at + 1) % 3
+		x.at = (x.at + 1) % len(w.labels)
 		again(loop.Second)
 	}
+	gen := s.gen
 	deliver := func() {
-		if !s.alive {
-			return
-		}
-		s.n.agent.Beat(r, func(a agent.Answer) {
-			w.at(w.between(300, 2000), func() {
-				if answered || x.gone || w.cut[label+">workers"] != open {
-					return
-				}
-				answered = true
-				if a.Status == 200 {
-					c, ok := a.Body.(wire.Commands)
-					if !ok {
-						w.fail("a report is answered with %T", a.Body)
+		s.enter(gen, func() {
+			s.n.agent.Beat(r, func(a agent.Answer) {
+				w.at(w.between(300, 2000), func() {
+					if answered || x.gone || w.toWorker(label, x) != open {
+						return
 					}
-					if !x.hanging {
-						x.w.Answered(w.now, sent, r.Session, c)
+					answered = true
+					if a.Status == 200 {
+						c, ok := a.Body.(wire.Commands)
+						if !ok {
+							w.fail("a report is answered with %T", a.Body)
+						}
+						if !x.hanging {
+							x.w.Answered(w.now, sent, r.Session, c)
+						}
+						again(w.between(750*loop.Millisecond, 1250*loop.Millisecond))
+						return
 					}
-					again(w.between(750*loop.Millisecond, 1250*loop.Millisecond))
-					return
-				}
-				if to, ok := a.Body.(wire.ReportTo); ok && to.Node != "" && to.Node != label {
-					for i, l := range w.labels {
-						if l == to.Node {
-							x.at = i
+					if to, ok := a.Body.(wire.ReportTo); ok && to.Node != "" && to.Node != label {
+						for i, l := range w.labels {
+							if l == to.Node {
+								x.at = i
+							}
 						}
+						again(w.between(0, 500*loop.Millisecond))
+						return
 					}
-					again(w.between(0, 500*loop.Millisecond))
-					return
-				}
-				next()
+					next()
+				})
 			})
 		})
 	}
-	switch w.cut[label+">workers"] {
+	switch w.toWorker(label, x) {
 	case open:
 		w.at(w.between(300, 2000), deliver)
 	case holding:
@@ -494,20 +551,31 @@
 
 // any picks a node that takes requests.
 func (w *world) any() *Node {
-	s := w.nodes[w.labels[w.rng.IntN(3)]]
+	if s := w.door(); s != nil {
+		return s.n
+	}
+	return nil
+}
+
+// door picks where a request goes in. A node that stands still takes it too, and handles
+// it when it wakes.
+func (w *world) door() *simNode {
+	s := w.nodes[w.labels[w.rng.IntN(len(w.labels))]]
 	if !s.alive || !s.n.ready() {
 		return nil
 	}
-	return s.n
+	return s
 }
 
 func (w *world) submit(j *simJob) {
-	if n := w.any(); n != nil {
-		if j.terms == nil {
-			n.book.Submit(j.id, j.spec, func(a job.Answer) { w.told(j, a) })
-		} else {
-			n.book.Propose(j.id, j.spec, j.terms, func(a job.Answer) { w.told(j, a) })
-		}
+	if s := w.door(); s != nil {
+		s.enter(s.gen, func() {
+			if j.terms == nil {
+				s.n.book.Submit(j.id, j.spec, func(a job.Answer) { w.told(j, a) })
+			} else {
+				s.n.book.Propose(j.id, j.spec, j.terms, func(a job.Answer) { w.told(j, a) })
+			}
+		})
 	}
 	w.at(w.between(2*loop.Second, 4*loop.Second), func() {
 		if !j.accepted {
@@ -517,8 +585,8 @@
 }
 
 func (w *world) poll(j *simJob) {
-	if n := w.any(); n != nil {
-		n.book.Poll(j.id, func(a job.Answer) { w.told(j, a) })
+	if s := w.door(); s != nil {
+		s.enter(s.gen, func() { s.n.book.Poll(j.id, func(a job.Answer) { w.told(j, a) }) })
 	}
 	w.at(w.between(2*loop.Second, 5*loop.Second), func() { w.poll(j) })
 }
@@ -528,8 +596,8 @@
 	if j.withdrawn != 0 || j.done {
 		return
 	}
-	if n := w.any(); n != nil {
-		n.book.Withdraw(j.id, func(a job.Answer) { w.told(j, a) })
+	if s := w.door(); s != nil {
+		s.enter(s.gen, func() { s.n.book.Withdraw(j.id, func(a job.Answer) { w.told(j, a) }) })
 	}
 	w.at(2*loop.Second, func() { w.withdraw(j) })
 }
@@ -542,7 +610,7 @@
 		CPUs: float64(1 + r.IntN(3)), MemoryGB: 2, Image: "i", ImageGB: 1, AnyType: true, Spot: r.IntN(2) == 0, Estimate: 8 * loop.Second}
 	switch r.IntN(6) {
 	case 0:
-		s.Zone = "y"
+		s.Zone = w.zones[len(w.zones)-1]
 	case 1:
 		s.OneZone = true
 	case 2:
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -122,6 +122,10 @@
 	Checks    []string      `cbor:"13,keyasint,omitempty"`
 	Questions []Question    `cbor:"14,keyasint,omitempty"`
 	Replies   []Reply       `cbor:"15,keyasint,omitempty"`
+	// Deltas are views told by how they differ from ones told before, and Lost names
+	// machines of the receiver's whose full views the sender lacks for that.
+	Deltas []*agent.Delta `cbor:"16,keyasint,omitempty"`
+	Lost   []string       `cbor:"17,keyasint,omitempty"`
 }
 
 const (
--- a/internal/placer/commit.go
+++ b/internal/placer/commit.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"strings"
 
+	"cleatpick/internal/agent"
 	"cleatpick/internal/cordon"
 	"cleatpick/internal/job"
 	"cleatpick/internal/loop"
@@ -539,7 +540,7 @@
 		for _, t := range tm.jobs {
 			p.maybeDone(t)
 		}
-		p.agent.Views(p.View)
+		p.agent.Views(func(v *agent.View) { p.View(v, &agent.Changes{All: true}) })
 		p.Kick()
 	})
 }
--- a/internal/placer/facts.go
+++ b/internal/placer/facts.go
@@ -117,6 +117,9 @@
 func (p *Placer) unshown(v *agent.View, f func(*job.Spec)) {
 	for r := range p.on[v.Name] {
 		x := r.t.task(r.i)
+		if x.seen {
+			continue // it is listed, or was and is not any more
+		}
 		n := r.t.name(r.i)
 		if x.session < v.Session || v.Holds(n, x.attempt) || v.Find(n, x.attempt) != nil {
 			continue
--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -1,7 +1,8 @@
 package placer
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 
 	"cleatpick/internal/agent"
 	"cleatpick/internal/fleet"
@@ -38,7 +39,7 @@
 // queue lists the jobs with waiting tasks in the order in which they are served.
 func (p *Placer) queue() []entryOf {
 	q := p.waiting()
-	sort.Slice(q, func(a, b int) bool { return q[a].before(&q[b]) })
+	slices.SortFunc(q, compare)
 	return q
 }
 
@@ -62,17 +63,14 @@
 	return q
 }
 
-// before tells whether e is served before o.
-func (e *entryOf) before(o *entryOf) bool {
-	if x, y := e.rank(), o.rank(); x != y {
-		return x > y
-	}
-	if e.turn != o.turn {
-		return e.turn < o.turn
-	}
-	return e.t.j.ID < o.t.j.ID
+// compare orders jobs as they are served.
+func compare(e, o entryOf) int {
+	return cmp.Or(cmp.Compare(o.rank(), e.rank()), cmp.Compare(e.turn, o.turn), cmp.Compare(e.t.j.ID, o.t.j.ID))
 }
 
+// before tells whether e is served before o.
+func (e *entryOf) before(o *entryOf) bool { return compare(*e, *o) < 0 }
+
 // turn orders jobs of one rank: first come, first served, but a small job may
 // overtake a large one by the time that the larger work takes its team.
 func (t *table) turn() loop.Micros {
--- a/internal/placer/place_test.go
+++ b/internal/placer/place_test.go
@@ -80,7 +80,7 @@
 	c := store.NewClient(g, g, log, 100, writeRPS, 1)
 	g.mirror = store.NewMirror(c, g, "c/")
 	g.book = job.NewBook(g, c, g.mirror, log, 16)
-	g.a = agent.New(g, log, agent.Host{Label: "a", Job: g.book.Get, Changed: func(v *agent.View) { g.p.View(v) }}, nil)
+	g.a = agent.New(g, log, agent.Host{Label: "a", Job: g.book.Get, Changed: func(v *agent.View, c *agent.Changes) { g.p.View(v, c) }}, nil)
 	g.p = New(g, c, log, cfg, Node{
 		Label:   "a",
 		Type:    func(name string) (wire.MachineType, bool) { t, ok := types[name]; return t, ok },
@@ -115,7 +115,7 @@
 // show lets a machine be heard with these tasks on it.
 func (g *rig) show(name, typ, zone string, spot bool, tasks ...agent.Task) {
 	g.seq++
-	g.a.Learn(&agent.View{Name: name, Type: typ, Zone: zone, Spot: spot, Host: "b", Session: 1, Seq: g.seq, Settled: true, At: g.Now(), Tasks: tasks})
+	g.a.Learn(&agent.View{Name: name, Type: typ, Zone: zone, Spot: spot, Host: "b", Session: 1, Seq: g.seq, Settled: true, At: g.Now(), Tasks: slices.Clone(tasks)})
 }
 
 // plainRoom is a machine's free room, worked out from nothing but its view and the
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -126,6 +126,7 @@
 		}
 	})
 	delete(t.team.jobs, t.j.ID)
+	t.team.order = nil
 }
 
 func (p *Placer) tableOf(tm *team, j *job.Job) *table {
@@ -133,6 +134,7 @@
 	if t == nil {
 		t = &table{j: j, team: tm, blocks: make([]*[blockSize]task, (j.Tasks+blockSize-1)/blockSize), zones: map[string]int{}, failedOn: map[string]bool{}}
 		tm.jobs[j.ID] = t
+		tm.order = nil
 	}
 	return t
 }
@@ -196,38 +198,85 @@
 	}
 }
 
-// View takes in a machine's newer view: what became of the tasks recorded on it.
-func (p *Placer) View(v *agent.View) {
+// View takes in a machine's newer view: what became of the tasks recorded on it. What is
+// as it was in the view before needs no second look.
+func (p *Placer) View(v *agent.View, c *agent.Changes) {
 	now := p.r.Now()
 	p.zoneMemo[v.Name] = v.Zone
 	// What runs on a machine that was not heard lately may have begun long ago. A new
 	// owner that took its first sight for the beginning found every task slow.
 	old := p.fleet.Slot(v.Name)
 	unsure := old == nil || now-old.Heard > 2*loop.Seconds(p.cfg.Cluster.Workers.ReportS)
+	var before []agent.Task
 	if old == nil {
+		c = &agent.Changes{All: true}
 		if typ, ok := p.n.Type(v.Type); ok && len(v.Tasks) == 0 {
 			p.turn.Free(typ.CPUs) // one that has just come up is room as well
 		}
+	} else {
+		before = old.V.Tasks
 	}
 	sl := p.fleet.View(v, now)
-	p.failures.View(now, v)
+	p.failures.View(now, v, c)
 	sl.Rest(p.failures.Until(v.Name), "tasks fail on it")
 	sl.Jobs = p.agent.Jobs(v)
-	if slow, factor := sl.Runs.Judge(v, sl.Jobs, p.paces, now); slow && now >= sl.Shut {
+	if slow, factor := sl.Runs.Judge(v, c, sl.Jobs, p.paces, now); slow && now >= sl.Shut {
 		p.log.Debug("slow machine rests", "machine", v.Name, "times", factor)
 		sl.Rest(now+health.SlowRest, "its tasks run slowly")
 		sl.Runs.Rest()
 	}
-	p.turn.Free(sl.Runs.Note(v, sl.Jobs, now, unsure))
-	for r := range p.on[v.Name] {
-		p.judge(r.t, r.i, v)
-	}
+	p.turn.Free(sl.Runs.Note(v, c, before, sl.Jobs, now, unsure))
+	p.judgeAll(v, c, sl.Jobs)
 	if v.Host != "" {
-		p.forgets(v)
+		p.forgets(v, sl.Jobs)
 	}
 	p.Kick()
 }
 
+// judgeAll draws what a view proves about the tasks in use on its machine. One that was
+// seen there and stands as before proves nothing new.
+func (p *Placer) judgeAll(v *agent.View, c *agent.Changes, jobs []*job.Job) {
+	on := p.on[v.Name]
+	if len(on) == 0 {
+		return
+	}
+	if c.All {
+		for r := range on {
+			p.judge(r.t, r.i, v)
+		}
+		return
+	}
+	for k, from := range c.From {
+		if from < 0 {
+			p.judgeNamed(v, v.Tasks[k].Task, jobs[k])
+		}
+	}
+	for r := range on {
+		// Not seen yet, or not listed any more: that the view lacks it may prove it off.
+		if x := r.t.task(r.i); !x.seen || x.lost {
+			p.judge(r.t, r.i, v)
+		}
+	}
+}
+
+// judgeNamed judges a task that has changed on the machine, if it is in use there.
+func (p *Placer) judgeNamed(v *agent.View, name string, j *job.Job) {
+	if j == nil || j.Spec == nil {
+		return
+	}
+	tm := p.teams[j.Spec.Team]
+	if tm == nil {
+		return
+	}
+	if t := tm.jobs[j.ID]; t != nil {
+		if _, i, ok := agent.SplitTask(name); ok && i < j.Tasks {
+			if _, here := p.on[v.Name][ref{t, i}]; here {
+				p.judge(t, i, v)
+			}
+		}
+	}
+}
+
 // judge draws what a view proves about a task.
 func (p *Placer) judge(t *table, i int, v *agent.View) {
 	x := t.task(i)
@@ -244,6 +293,7 @@
 		return
 	}
 	e := v.Find(name, x.attempt)
+	x.lost = x.seen && e == nil
 	if e == nil {
 		if v.Holds(name, x.attempt) {
 			return
@@ -336,28 +386,25 @@
 }
 
 // forgets asks a machine to forget ended tasks whose outcome is kept or of no use.
-func (p *Placer) forgets(v *agent.View) {
+func (p *Placer) forgets(v *agent.View, jobs []*job.Job) {
 	if !v.Settled {
 		return
 	}
 	for k := range v.Tasks {
 		e := &v.Tasks[k]
-		if e.Active() {
-			continue
-		}
-		id, i, ok := agent.SplitTask(e.Task)
-		if !ok {
-			continue
-		}
-		j := p.book.Get(id)
-		if j == nil || j.Final() || j.Spec == nil {
+		j := jobs[k]
+		if e.Active() || j == nil || j.Final() || j.Spec == nil {
 			continue // of a job that is over, the host forgets it by itself
 		}
 		tm := p.teams[j.Spec.Team]
-		if tm == nil || !tm.loaded || tm.jobs[id] == nil || i >= j.Tasks {
+		if tm == nil || !tm.loaded || tm.jobs[j.ID] == nil {
+			continue
+		}
+		_, i, ok := agent.SplitTask(e.Task)
+		if !ok || i >= j.Tasks {
 			continue
 		}
-		t := tm.jobs[id]
+		t := tm.jobs[j.ID]
 		x := t.task(i)
 		// The start must have expired, or a repeat of it could start the task anew.
 		old := e.Attempt < x.attempt || (e.Attempt == x.attempt && (x.state == Completed || x.state == Waiting))
@@ -614,7 +661,7 @@
 		return
 	}
 	p.placing = true
-	p.r.After(min(8*loop.Millisecond+6*p.took, 400*loop.Millisecond), func() {
+	p.r.After(min(25*loop.Millisecond+6*p.took, 400*loop.Millisecond), func() {
 		p.placing = false
 		p.place()
 	})
--- a/internal/placer/preempt.go
+++ b/internal/placer/preempt.go
@@ -1,8 +1,6 @@
 package placer
 
 import (
-	"sort"
-
 	"cleatpick/internal/loop"
 	"cleatpick/internal/peer"
 )
@@ -60,21 +58,12 @@
 // guaranteed lists the jobs of an owned team that fit into its guarantee together
 // with the team's earlier unfinished jobs.
 func (p *Placer) guaranteed(tm *team, also *table) map[*table]bool {
-	all := make([]*table, 0, len(tm.jobs))
-	for _, t := range tm.jobs {
-		if !t.j.Final() && (t == also || !p.resting(t)) {
-			all = append(all, t)
-		}
-	}
-	sort.Slice(all, func(a, b int) bool {
-		if all[a].j.At != all[b].j.At {
-			return all[a].j.At < all[b].j.At
-		}
-		return all[a].j.ID < all[b].j.ID
-	})
 	out := map[*table]bool{}
 	cpus, gpus := 0.0, 0.0
-	for _, t := range all {
+	for _, t := range tm.inOrder() {
+		if t.j.Final() || (t != also && p.resting(t)) {
+			continue
+		}
 		n := float64(t.j.Tasks - t.completed)
 		cpus += n * t.j.Spec.CPUs
 		gpus += n * t.j.Spec.GPUs
--- a/internal/placer/rivals.go
+++ b/internal/placer/rivals.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"sort"
 
 	"cleatpick/internal/agent"
 	"cleatpick/internal/cordon"
@@ -44,7 +43,7 @@
 	t := self.t
 	spoken := map[*team]agent.Room{}
 	q = slices.DeleteFunc(slices.Clone(q), func(e entryOf) bool { return !e.before(self) || !p.meet(e.t.j.Spec, t.j.Spec, types, lifted) })
-	sort.Slice(q, func(a, b int) bool { return q[a].before(&q[b]) })
+	slices.SortFunc(q, compare)
 	for i := range q {
 		o := q[i].t
 		n := p.missed(o)
--- a/internal/placer/table.go
+++ b/internal/placer/table.go
@@ -4,6 +4,10 @@
 package placer
 
 import (
+	"cmp"
+	"maps"
+	"slices"
+
 	"cleatpick/internal/agent"
 	"cleatpick/internal/config"
 	"cleatpick/internal/gate"
@@ -40,6 +44,7 @@
 	sentAt  loop.Micros
 	chosen  loop.Micros // when its machine was chosen
 	seen    bool        // its machine has shown it
+	lost    bool        // and does not show it any more
 	running bool
 	since   loop.Micros // when it was first seen running
 	stopAt  loop.Micros // when a stop was last asked for
@@ -82,11 +87,23 @@
 	claim  member.Owner
 	loaded bool
 	jobs   map[string]*table
+	order  []*table // jobs in the order of their acceptance; nil: to be made anew
 	cpus   float64
 	gpus   float64
 	log    journal
 }
 
+// inOrder lists the team's jobs in the order of their acceptance. Passes ask for it far
+// more often than jobs come and go.
+func (tm *team) inOrder() []*table {
+	if tm.order == nil {
+		tm.order = slices.SortedFunc(maps.Values(tm.jobs), func(a, b *table) int {
+			return cmp.Or(cmp.Compare(a.j.At, b.j.At), cmp.Compare(a.j.ID, b.j.ID))
+		})
+	}
+	return tm.order
+}
+
 type ref struct {
 	t *table
 	i int
@@ -178,7 +195,7 @@
 		}
 	}
 	if s == Waiting && was != Waiting {
-		x.seen, x.ours, x.sentTo, x.spread, x.sentAt, x.stopAt = false, false, "", false, 0, 0
+		x.seen, x.lost, x.ours, x.sentTo, x.spread, x.sentAt, x.stopAt = false, false, false, "", false, 0, 0
 		t.back = append(t.back, i)
 	}
 }
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"cleatpick/internal/loop"
 	"cleatpick/internal/store"
 	"cleatpick/internal/wire"
 )
@@ -19,6 +20,13 @@
 	requests map[string][]string
 	machines map[string]wire.Listed
 	next     int
+	// Now, if it is set, lets lists lag by Lag, and machines that died stay listed as
+	// running for half a minute.
+	Now  func() loop.Micros
+	Lag  loop.Micros
+	born map[string]loop.Micros
+	died map[string]loop.Micros
+	left map[string]leftover // machines that are gone, as a list that lags still shows them
 	// Up and Gone tell the test to bring a machine up, or that it is deleted.
 	Up   func(wire.Listed)
 	Gone func(name string)
@@ -26,7 +34,7 @@
 
 // NewCloud makes a cloud with so many machines of one type in each zone.
 func NewCloud(t wire.MachineType, each int) *Cloud {
-	c := &Cloud{Types: []wire.MachineType{t}, Left: map[string]int{}, requests: map[string][]string{}, machines: map[string]wire.Listed{}}
+	c := &Cloud{born: map[string]loop.Micros{}, died: map[string]loop.Micros{}, left: map[string]leftover{}, Types: []wire.MachineType{t}, Left: map[string]int{}, requests: map[string][]string{}, machines: map[string]wire.Listed{}}
 	for _, z := range t.Zones {
 		c.Left[z] = each
 	}
@@ -47,9 +55,77 @@
 	}
 	delete(c.machines, name)
 	c.Left[m.Zone]++
+	c.left[name] = leftover{m, c.now()}
 	c.Gone(name)
 }
 
+type leftover struct {
+	m  wire.Listed
+	at loop.Micros
+}
+
+func (c *Cloud) now() loop.Micros {
+	if c.Now == nil {
+		return 0
+	}
+	return c.Now()
+}
+
+// Take takes all that is left to rent away and tells what it was; Give brings it back.
+func (c *Cloud) Take() map[string]int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	kept := c.Left
+	c.Left = map[string]int{}
+	return kept
+}
+
+// Give adds to what is left to rent.
+func (c *Cloud) Give(more map[string]int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for z, n := range more {
+		c.Left[z] += n
+	}
+}
+
+// Die lets a machine stop by itself: it stays listed, and nobody is told.
+func (c *Cloud) Die(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.died[name] = c.now()
+}
+
+// deadListed is how long a dead machine is still listed as running.
+const deadListed = 30 * loop.Second
+
+// list describes the machines as they were a while ago.
+func (c *Cloud) list() wire.Listing {
+	at := c.now() - c.Lag
+	l := wire.Listing{Machines: []wire.Listed{}}
+	add := func(m wire.Listed) {
+		if c.born[m.Name] > at {
+			return
+		}
+		if d, ok := c.died[m.Name]; ok && at > d+deadListed {
+			m.State = "failed"
+		}
+		l.Machines = append(l.Machines, m)
+	}
+	for _, m := range c.machines {
+		add(m)
+	}
+	for name, x := range c.left {
+		if x.at <= at {
+			delete(c.left, name)
+		} else {
+			add(x.m)
+		}
+	}
+	sort.Slice(l.Machines, func(i, j int) bool { return l.Machines[i].Name < l.Machines[j].Name })
+	return l
+}
+
 // Do answers one request.
 func (c *Cloud) Do(method, path string, body []byte, _ time.Duration) store.Response {
 	c.mu.Lock()
@@ -58,12 +134,7 @@
 	case method == "GET" && path == "/catalog":
 		return reply(200, wire.Catalog{Types: c.Types})
 	case method == "GET" && strings.HasPrefix(path, "/machines"):
-		l := wire.Listing{Machines: []wire.Listed{}}
-		for _, m := range c.machines {
-			l.Machines = append(l.Machines, m)
-		}
-		sort.Slice(l.Machines, func(i, j int) bool { return l.Machines[i].Name < l.Machines[j].Name })
-		return reply(200, l)
+		return reply(200, c.list())
 	case path == "/machines/delete":
 		var n wire.Names
 		if wire.Unmarshal(body, &n) != nil {
@@ -91,6 +162,7 @@
 			m := wire.Listed{Name: fmt.Sprintf("n-%06d", c.next), Type: r.Type, Zone: r.Zone, Spot: r.Spot, State: "running"}
 			m.Addr = "worker:" + m.Name
 			c.machines[m.Name] = m
+			c.born[m.Name] = c.now()
 			c.Left[r.Zone]--
 			got = append(got, m.Name)
 			c.Up(m)
--- a/internal/store/mirror.go
+++ b/internal/store/mirror.go
@@ -41,10 +41,18 @@
 	known   bool // the keys were read at least once
 	tries   int
 	entries map[string]Entry
+	removed []removal // of entries, in the order in which they were learnt
 	subs    []sub
 	ready   []func()
 }
 
+// removal is a key that was removed. Its version is kept for a while, so that what was
+// told late of the key before does not bring it back.
+type removal struct {
+	key  string
+	mark uint64
+}
+
 type sub struct {
 	prefix string
 	f      func(key string, e Entry)
@@ -97,6 +105,9 @@
 	}
 	e := Entry{Value: value, Mark: mark, gone: removed}
 	m.entries[key] = e
+	if removed {
+		m.removed = append(m.removed, removal{key, mark})
+	}
 	if removed && (!known || old.gone) {
 		return
 	}
@@ -180,10 +191,11 @@
 		}
 	}
 	m.since = max(m.since, ev.Tally)
-	for k, e := range m.entries {
-		if e.gone && e.Mark+5000 < m.since {
-			delete(m.entries, k)
+	for len(m.removed) > 0 && m.removed[0].mark+5000 < m.since {
+		if x := m.removed[0]; m.entries[x.key].gone && m.entries[x.key].Mark == x.mark {
+			delete(m.entries, x.key)
 		}
+		m.removed = m.removed[1:]
 	}
 	m.c.r.After(60*loop.Millisecond, m.follow)
 }
