--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -214,7 +214,7 @@
 	v.Session = r.Session
 	c := v.Since(&before)
 	v.inherit(&before, &c)
-	if !c.Same() || (v.NoticeAt == 0) != (r.NoticeS == nil) {
+	if !c.Still || (v.NoticeAt == 0) != (r.NoticeS == nil) {
 		m.dirty = true
 	}
 	v.Name, v.Addr, v.Type, v.Zone, v.Spot, v.Host = r.Machine, r.Addr, r.Type, r.Zone, r.Spot, a.h.Label
@@ -371,74 +371,6 @@
 	}
 }
 
-// Reserve keeps room for a start while its attempt is being recorded, and refuses at
-// once what does not fit any more: with many owners after the same room, every vain
-// choice would otherwise cost a record. What counts is the start itself.
-func (a *Agent) Reserve(s Start) {
-	m := a.hosted[s.Machine]
-	if m == nil {
-		return
-	}
-	j := a.job(s.Task)
-	if j == nil {
-		return // its record is on its way here; the start will tell
-	}
-	if why := a.refusal(m, s, j); why != "" {
-		a.h.Drop(s.From, Drop{Machine: s.Machine, Task: s.Task, Attempt: s.Attempt, Why: why, Reserve: true})
-		return
-	}
-	m.reserved[key{s.Task, s.Attempt}] = a.r.Now() + 700*loop.Millisecond
-	a.listPending(m)
-	a.touchSoon(m)
-}
-
-// refusal tells why a start cannot be taken on now; it is empty if it can.
-func (a *Agent) refusal(m *machine, s Start, j *job.Job) string {
-	typ, known := a.h.Type(m.view.Type)
-	switch {
-	case s.Session != m.view.Session:
-		return "another session"
-	case a.r.Wall() < m.closeTo:
-		return "closed"
-	case m.view.NoticeAt != 0:
-		return "notice"
-	case j == nil || j.Final() || !known:
-		return "unknown"
-	case !a.h.MayStart():
-		return "no state contact"
-	}
-	if why := a.barred(j, &m.view); why != "" {
-		return why
-	}
-	m.view.resolved = false // it is not a published view, and changes
-	if room, ok := a.Room(&m.view, typ); !ok || !room.Fits(j.Spec) {
-		return "full"
-	}
-	return ""
-}
-
-func (a *Agent) barred(j *job.Job, v *View) string {
-	if a.h.Barred == nil {
-		return ""
-	}
-	return a.h.Barred(j, v)
-}
-
-// touchSoon renews what others see of the machine once for several causes that come
-// together: the starts of a large job reach a machine one after another.
-func (a *Agent) touchSoon(m *machine) {
-	if m.touching {
-		return
-	}
-	m.touching = true
-	a.r.After(3*loop.Millisecond, func() {
-		m.touching = false
-		if a.hosted[m.view.Name] == m {
-			a.touch(m)
-		}
-	})
-}
-
 // Learn takes in a view of a machine that reports to another node.
 func (a *Agent) Learn(v *View) {
 	if a.gone[v.Name] || v.Host == a.h.Label || !v.newer(a.views[v.Name]) {
@@ -459,65 +391,6 @@
 	}
 }
 
-// Start takes on an owner's start, or drops it and says so.
-func (a *Agent) Start(s Start) {
-	m := a.hosted[s.Machine]
-	k := key{s.Task, s.Attempt}
-	wall := a.r.Wall()
-	drop := func(why string) {
-		if m != nil {
-			m.refused[k] = s.Expiry + a.h.ClockTo
-		}
-		a.h.Drop(s.From, Drop{Machine: s.Machine, Task: s.Task, Attempt: s.Attempt, Why: why})
-	}
-	if m == nil {
-		return // the owner hears of the new host and sends it there, until the start expires
-	}
-	if m.view.Find(s.Task, s.Attempt) != nil || m.pending[k] != nil {
-		return
-	}
-	if _, was := m.refused[k]; was {
-		drop("dropped before")
-		return
-	}
-	j := a.job(s.Task)
-	if j == nil && wall < s.Expiry {
-		// Its record is on its way here: the owner saw the job a moment earlier.
-		a.r.After(40*loop.Millisecond, func() { a.Start(s) })
-		return
-	}
-	if _, ok := m.reserved[k]; ok {
-		delete(m.reserved, k)
-		a.listPending(m)
-	}
-	why := a.refusal(m, s, j)
-	switch {
-	case wall >= s.Expiry:
-		drop("too old")
-	case why != "":
-		drop(why)
-	default:
-		m.pending[k] = &pending{s: s}
-		m.dirty = true
-		a.listPending(m) // the next start must find this room taken
-		a.touchSoon(m)
-		a.flushSoon(m)
-	}
-}
-
-// Stop takes on a stop or a forget of a task on a hosted machine.
-func (a *Agent) Stop(s Stop) {
-	m := a.hosted[s.Machine]
-	if m == nil {
-		return
-	}
-	k := key{s.Task, s.Attempt}
-	m.stops[k] = request{s, a.r.Now() + 5*loop.Second}
-	if !s.Forget {
-		a.flushSoon(m)
-	}
-}
-
 // Check asks a hosted machine for a task list that is certainly new.
 func (a *Agent) Check(name string) {
 	if m := a.hosted[name]; m != nil {
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -6,12 +6,16 @@
 	"testing"
 	"time"
 
+	"cleatpick/internal/fixed"
 	"cleatpick/internal/job"
 	"cleatpick/internal/loop"
 	"cleatpick/internal/store"
 	"cleatpick/internal/wire"
 )
 
+// The verdict must be the same every time, so the generator's seed is fixed.
+func TestMain(m *testing.M) { fixed.Main(m) }
+
 // hand is time moved by hand; blocking work runs when the test says so.
 type hand struct {
 	now  loop.Micros
--- a/internal/agent/delta.go
+++ b/internal/agent/delta.go
@@ -1,6 +1,8 @@
 package agent
 
 import (
+	"slices"
+
 	"cleatpick/internal/job"
 	"cleatpick/internal/loop"
 )
@@ -10,6 +12,8 @@
 type Changes struct {
 	// All: nothing is known of a view before, or it was of another session.
 	All bool
+	// Still: every task stands as before; From and Gone are empty.
+	Still bool
 	// From is where each task of the view stood in the one before, unchanged; -1: it is
 	// new or stands otherwise.
 	From []int
@@ -17,17 +21,15 @@
 	Gone []int
 }
 
-// Same tells whether no task came, went or changed.
-func (c *Changes) Same() bool {
-	if c.All || len(c.Gone) > 0 {
-		return false
-	}
-	for _, i := range c.From {
-		if i < 0 {
-			return false
-		}
+// Kept tells whether a task of the view stands as before.
+func (c *Changes) Kept(i int) bool { return c.Still || (!c.All && c.From[i] >= 0) }
+
+// Was is where a task that is kept stood in the view before.
+func (c *Changes) Was(i int) int {
+	if c.Still {
+		return i
 	}
-	return true
+	return c.From[i]
 }
 
 // Since compares a view with one before. Workers report tasks in the order in which they
@@ -37,6 +39,9 @@
 	if old == nil || old.Session != v.Session {
 		return Changes{All: true}
 	}
+	if v.standsAs(old) {
+		return Changes{Still: true}
+	}
 	c := Changes{From: make([]int, len(v.Tasks))}
 	i := 0
 	for k := range v.Tasks {
@@ -65,16 +70,30 @@
 	return c
 }
 
+// standsAs tells whether both views list the same tasks alike. Where nothing has changed,
+// they mostly share one list.
+func (v *View) standsAs(old *View) bool {
+	if len(v.Tasks) != len(old.Tasks) {
+		return false
+	}
+	return len(v.Tasks) == 0 || &v.Tasks[0] == &old.Tasks[0] || slices.Equal(v.Tasks, old.Tasks)
+}
+
 func (t *Task) is(o *Task) bool { return t.Attempt == o.Attempt && t.Task == o.Task }
 
 // inherit takes over what was found out of the tasks that stand as before.
 func (v *View) inherit(old *View, c *Changes) {
+	if c.Still && len(old.jobs) == len(old.Tasks) {
+		v.Tasks, v.jobs, v.resolved = old.Tasks, old.jobs, false // one list for both
+		return
+	}
 	v.jobs, v.resolved = make([]*job.Job, len(v.Tasks)), false
 	if c.All || len(old.jobs) != len(old.Tasks) {
 		return
 	}
-	for k, i := range c.From {
-		if i >= 0 {
+	for k := range v.Tasks {
+		if c.Kept(k) {
+			i := c.Was(k)
 			v.jobs[k] = old.jobs[i]
 			v.Tasks[k].Task = old.Tasks[i].Task // one string for both
 		}
@@ -136,6 +155,9 @@
 	v := *base
 	v.Seq, v.Rev, v.Settled, v.At, v.NoticeAt, v.Closed, v.Pending = d.Seq, d.Rev, d.Settled, d.At, d.NoticeAt, d.Closed, d.Pending
 	v.jobs, v.resolved = nil, false
+	if len(d.Gone)+len(d.New) == 0 {
+		return &v
+	}
 	v.Tasks = make([]Task, kept+len(d.New))
 	gone, fresh, i := 0, 0, 0
 	for k := range v.Tasks {
@@ -162,7 +184,7 @@
 
 // gather is for how long changes of a machine's view are gathered before they are told:
 // a start is seen in several steps that follow each other closely.
-const gather = 20 * loop.Millisecond
+const gather = 25 * loop.Millisecond
 
 // News is what a host tells the other nodes of its machines.
 type News struct {
--- a/internal/agent/delta_test.go
+++ b/internal/agent/delta_test.go
@@ -127,9 +127,9 @@
 		}
 		return
 	}
-	for k, i := range c.From {
-		if i >= 0 && v.Tasks[k] != old.Tasks[i] {
-			t.Fatalf("%+v counts as unchanged since %+v", v.Tasks[k], old.Tasks[i])
+	for k := range v.Tasks {
+		if c.Kept(k) && v.Tasks[k] != old.Tasks[c.Was(k)] {
+			t.Fatalf("%+v counts as unchanged since %+v", v.Tasks[k], old.Tasks[c.Was(k)])
 		}
 	}
 	for i := range old.Tasks {
@@ -137,8 +137,8 @@
 			t.Fatalf("%+v has gone or changed, and is not said to have", old.Tasks[i])
 		}
 	}
-	if c.Same() != slices.Equal(old.Tasks, v.Tasks) {
-		t.Fatalf("same: %v", c.Same())
+	if c.Still != slices.Equal(old.Tasks, v.Tasks) {
+		t.Fatalf("still: %v", c.Still)
 	}
 }
 
--- a/internal/explain/facts.go
+++ b/internal/explain/facts.go
@@ -128,6 +128,9 @@
 	case gate.Limit:
 		r.State, r.Release = "full", "tasks of the team "+f.Team.Name+" end, or its limit is raised"
 		r.Detail.Team = f.team()
+	case gate.Yield:
+		r.State, r.Release = "leftToOthers", "urgent or guaranteed work of teams of other controllers finds its room, or more falls free"
+		r.Detail.Team = f.team()
 	}
 }
 
@@ -198,8 +201,8 @@
 		for _, a := range r.Detail.Ahead {
 			r.BlockedBy = append(r.BlockedBy, a.Job)
 		}
-	} else if cordoned <= 0 && short <= 0 && f.Contact && f.Gate.Open() && min(f.Gate.Passes(gate.Probe), f.Gate.Passes(gate.Limit)) > 0 {
-		r := add(gate.Recheck, min(n, f.Gate.Passes(gate.Probe), f.Gate.Passes(gate.Limit)))
+	} else if cordoned <= 0 && short <= 0 && f.Contact && f.Gate.Open() && f.Gate.Least() > 0 {
+		r := add(gate.Recheck, min(n, f.Gate.Least()))
 		r.State, r.Release = "due", "nothing: the next pass places it"
 		r.Estimate = &Estimate{Low: 0, Likely: Span(50 * loop.Millisecond), High: Span(loop.Second)}
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -45,7 +45,8 @@
 	cost    float64 // price by CPU
 	dear    float64 // how far that is above the cheapest of all machines here, from 0 to 1
 	stopped []stopping
-	stale   bool // waits for a refresh
+	stale   bool         // waits for a refresh
+	lowest  job.Priority // of its tasks
 }
 
 // Fleet keeps a slot for every machine heard. Slots are brought up to date by Refresh,
@@ -64,6 +65,8 @@
 	claimed map[*Slot]struct{} // machines with claims
 	held    map[string]int     // claims by job
 	scratch []victim
+	free    []*Slot
+	from    int // where the next look for what to stop begins
 }
 
 // New makes an empty fleet.
@@ -77,8 +80,22 @@
 // All lists the slots by name; after Refresh.
 func (f *Fleet) All() []*Slot { return f.order }
 
-// View takes in a machine's newer view.
-func (f *Fleet) View(v *agent.View, now loop.Micros) *Slot {
+// Free lists the slots that take starts and have processors left, after Refresh. A pass
+// asks once: in a full fleet that is a small part, and every job is ranked on it alone.
+func (f *Fleet) Free() []*Slot {
+	now := f.r.Now()
+	after := now - f.n.StaleAfter
+	f.free = f.free[:0]
+	for _, sl := range f.order {
+		if sl.Room.CPUs > 0 && sl.Open(after, now) {
+			f.free = append(f.free, sl)
+		}
+	}
+	return f.free
+}
+
+// View takes in a machine's newer view; quiet: nothing on it has changed.
+func (f *Fleet) View(v *agent.View, now loop.Micros, quiet bool) *Slot {
 	sl := f.slots[v.Name]
 	if sl == nil {
 		sl = &Slot{Runs: health.NewRuns()}
@@ -88,7 +105,9 @@
 		f.priced = 0
 	}
 	sl.V, sl.Heard = v, now
-	f.Touch(sl)
+	if !quiet {
+		f.Touch(sl)
+	}
 	return sl
 }
 
@@ -132,6 +151,9 @@
 	return cordon.Place{Machine: v.Name, Type: v.Type, Zone: v.Zone, Spot: v.Spot}
 }
 
+// priceEvery is how often prices are compared, which change with the catalog.
+const priceEvery = 5 * loop.Second
+
 // Refresh brings the slots up to date that were touched.
 func (f *Fleet) Refresh() {
 	now := f.r.Now()
@@ -153,7 +175,7 @@
 			f.refresh(sl)
 		}
 	}
-	if f.priced == 0 || now-f.priced > loop.Second {
+	if f.priced == 0 || now-f.priced > priceEvery {
 		f.priced = now
 		f.price()
 	}
@@ -174,6 +196,12 @@
 	f.n.Unshown(v, room.Take)
 	sl.typ, sl.Room, sl.used = typ, room, typ.CPUs-room.CPUs
 	sl.Jobs = f.n.Jobs(v)
+	sl.lowest = job.Production
+	for i, j := range sl.Jobs {
+		if j != nil && j.Spec != nil && v.Tasks[i].Active() {
+			sl.lowest = min(sl.lowest, j.Spec.Priority)
+		}
+	}
 	sl.Known = true
 	sl.Cordoned = f.n.Cordons.Barred(Where(v))
 }
--- a/internal/fleet/stop.go
+++ b/internal/fleet/stop.go
@@ -194,6 +194,19 @@
 	return x
 }
 
+// choices is how many options are looked for, for each that is wanted.
+const choices = 8
+
+// anyExcess tells whether another team runs more than its guarantee.
+func anyExcess(excess map[string]float64, team string) bool {
+	for name, x := range excess {
+		if name != team && x > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Preempt makes room for the waiting tasks of a job that found none, and tells where: a
 // claim for each. excess is what each team runs beyond its guarantee. The machines are gone through once; only the one that was chosen is looked at
 // again.
@@ -202,9 +215,14 @@
 	now := f.r.Now()
 	after := now - f.n.StaleAfter
 	var all options
-	for _, sl := range f.order {
-		if !sl.Open(after, now) {
-			continue
+	borrowed := within && anyExcess(excess, s.Team)
+	// Any of many machines will do about as well as the best of all: the look begins where
+	// the last one ended, and is over once there is enough to choose from.
+	for k := 0; k < len(f.order) && len(all) < choices*(want+8); k++ {
+		f.from = (f.from + 1) % len(f.order)
+		sl := f.order[f.from]
+		if (sl.lowest >= s.Priority && !borrowed) || !sl.Open(after, now) {
+			continue // nothing there gives way
 		}
 		if o, ok := f.optionOn(need, sl, now, within, excess); ok {
 			all = append(all, o)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -35,12 +35,13 @@
 	Saving       Kind = 17 // it was told to stop, and saves
 	Unproven     Kind = 18 // an earlier attempt is not proven off its machine
 	Recheck      Kind = 19 // room is there: the next pass places it
-	kinds        Kind = 20
+	Yield        Kind = 20 // what is free is left to work of other owners that comes first
+	kinds        Kind = 21
 )
 
 var names = [kinds]string{NoOwner: "noOwner", Loading: "loading", StateContact: "stateContact", Damaged: "damagedRecord", Hold: "hold",
 	Dependency: "dependency", BackOff: "backOff", Probe: "probe", Limit: "teamLimit", Gang: "gang", Cordon: "cordon", Room: "room", Rank: "rank",
-	Recording: "recording", Starting: "starting", Fetching: "fetching", Saving: "saving", Unproven: "unproven", Recheck: "nextPass"}
+	Recording: "recording", Starting: "starting", Fetching: "fetching", Saving: "saving", Unproven: "unproven", Recheck: "nextPass", Yield: "yield"}
 
 // String is the kind's name in `/v1/`.
 func (k Kind) String() string {
@@ -109,6 +110,10 @@
 	Used, Max   agent.Room // of its team; memory is not limited
 	Now, Wall   loop.Micros
 	ClockTo     loop.Micros // twice the bound on the time of day
+	// First is how many CPUs the work of other owners misses that comes before this job,
+	// Spare how many are free on open machines, Kept the tasks for which room is kept.
+	First, Spare float64
+	Kept         int
 }
 
 // fails tells whether the job fails wherever it runs.
@@ -126,7 +131,7 @@
 var whole = [...]Kind{Damaged, Hold, Dependency, BackOff}
 
 // counted are the gates that let a number of tasks on.
-var counted = [...]Kind{Probe, Limit}
+var counted = [...]Kind{Probe, Limit, Yield}
 
 // Passes is how many of the waiting tasks the gate lets on.
 func (j *Job) Passes(k Kind) int {
@@ -148,6 +153,10 @@
 		}
 	case Limit:
 		return j.limit()
+	case Yield:
+		if j.First > 0 && j.Spec.CPUs > 0 {
+			return max(int((j.Spare-j.First)/j.Spec.CPUs), j.Kept, 0)
+		}
 	}
 	if shut {
 		return 0
@@ -165,6 +174,15 @@
 	return true
 }
 
+// Least is how many of the waiting tasks all counted gates let on.
+func (j *Job) Least() int {
+	n := Everything
+	for _, k := range counted {
+		n = min(n, j.Passes(k))
+	}
+	return n
+}
+
 // limit is how many waiting tasks the team's limit leaves room for.
 func (j *Job) limit() int {
 	n, s := j.Waiting, j.Spec
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -25,10 +25,13 @@
 
 // View takes in a machine's newer view.
 func (h *Failures) View(now loop.Micros, v *agent.View, c *agent.Changes) {
+	if c.Still {
+		return
+	}
 	var m *machineFailures
 	for i := range v.Tasks {
 		t := &v.Tasks[i]
-		if !c.All && c.From[i] >= 0 {
+		if c.Kept(i) {
 			continue // counted when it was new
 		}
 		if t.Active() || (t.Why != wire.WhyDone && t.Why != wire.WhyError) {
--- a/internal/health/runs.go
+++ b/internal/health/runs.go
@@ -44,12 +44,15 @@
 // lose, and which images they use. It tells how many CPUs fell free by tasks that
 // completed.
 func (r *Runs) Note(v *agent.View, c *agent.Changes, old []agent.Task, jobs []*job.Job, now loop.Micros, unsure bool) (freed float64) {
+	if c.Still && len(r.Since) == len(v.Tasks) {
+		return 0
+	}
 	since := make([]loop.Micros, len(v.Tasks))
 	defer func() { r.Since = since }()
 	for i := range v.Tasks {
 		t := &v.Tasks[i]
-		if !c.All && c.From[i] >= 0 && c.From[i] < len(r.Since) {
-			since[i] = r.Since[c.From[i]]
+		if c.Kept(i) && c.Was(i) < len(r.Since) {
+			since[i] = r.Since[c.Was(i)]
 			continue
 		}
 		if t.State == wire.TaskExited && t.Why == wire.WhyDone {
@@ -109,9 +112,12 @@
 	if late {
 		r.judged = now
 	}
+	if c.Still && !late {
+		return false, 0
+	}
 	for i := range v.Tasks {
 		x := &v.Tasks[i]
-		if !c.All && c.From[i] >= 0 && !(late && x.State == wire.TaskRunning) {
+		if c.Kept(i) && !(late && x.State == wire.TaskRunning) {
 			continue
 		}
 		o, known := r.runs[x.Task]
--- /dev/null
+++ b/internal/loss/loss_test.go
@@ -0,0 +1,261 @@
+package loss
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+
+	"cleatpick/internal/fixed"
+	"cleatpick/internal/loop"
+
+	"pgregory.net/rapid"
+)
+
+// The verdict must be the same every time, so the generator's seed is fixed.
+func TestMain(m *testing.M) { fixed.Main(m) }
+
+// truth is what really is with a machine.
+type truth int
+
+const (
+	well truth = iota
+	hangs
+	stopped
+)
+
+type real struct {
+	name, zone  string
+	is          truth
+	since, back loop.Micros // when it became so, and when it goes on; 0: never
+	heard       loop.Micros
+	wellAt      loop.Micros // when it went on
+	lostAt      loop.Micros
+	why         string
+	inCut       bool // its zone was cut off when it was lost
+}
+
+type answer struct {
+	at   loop.Micros
+	done func(Word)
+	w    Word
+}
+
+// yard is a fleet of which the truth is known, seen by a judge under hand-driven time.
+type yard struct {
+	now     loop.Micros
+	rules   Rules
+	j       *Judge
+	all     []*real
+	byName  map[string]*real
+	answers []answer
+	blind   bool
+	cut     map[string]loop.Micros // zones that are cut off, and until when
+	cutOff  bool                   // this node reaches no machine, and hears of them by its peers
+	most    int
+	probes  int
+}
+
+const step = 200 * loop.Millisecond
+
+func newYard(zones, each int) *yard {
+	y := &yard{now: 1000 * loop.Second, byName: map[string]*real{}, cut: map[string]loop.Micros{},
+		rules: Rules{Report: 3 * loop.Second, Lease: 18 * loop.Second, Out: 8 * loop.Second, Probes: 16}}
+	for z := range zones {
+		for i := range each {
+			r := &real{name: fmt.Sprintf("n-%d%04d", z, i), zone: fmt.Sprint("z", z), heard: y.now}
+			y.all = append(y.all, r)
+			y.byName[r.name] = r
+		}
+	}
+	y.j = New(y.rules, slog.New(slog.NewTextHandler(io.Discard, nil)), nil, func(addr string, done func(Word)) {
+		y.probes++
+		a := answer{y.now + 5*loop.Millisecond, done, Answered}
+		switch r := y.byName[addr]; {
+		case y.cutOff || r.is == stopped || y.now < y.cut[r.zone]:
+			a.w, a.at = NoWay, y.now+loop.Second
+		case r.is == hangs:
+			a.w, a.at = Mute, y.now+loop.Second
+		}
+		y.answers = append(y.answers, a)
+		y.most = max(y.most, len(y.answers))
+	})
+	return y
+}
+
+// fall lets machines become so, until back.
+func (y *yard) fall(is truth, back loop.Micros, names ...*real) {
+	for _, r := range names {
+		if r.is == well {
+			r.is, r.since, r.back = is, y.now, back
+		}
+	}
+}
+
+func (y *yard) run(d loop.Micros) {
+	for end := y.now + d; y.now < end; y.now += step {
+		kept := y.answers[:0:0]
+		due := y.answers
+		y.answers = nil
+		for _, a := range due {
+			if a.at <= y.now {
+				a.done(a.w)
+			} else {
+				kept = append(kept, a)
+			}
+		}
+		y.answers = append(kept, y.answers...)
+		y.j.Answers(func(name string) { y.byName[name].heard = y.now })
+		for i, r := range y.all {
+			if r.back != 0 && y.now >= r.back && r.lostAt == 0 {
+				r.is, r.back, r.wellAt = well, 0, y.now
+			}
+			if r.is == well && r.lostAt == 0 && y.now >= y.cut[r.zone] && (y.now/step+loop.Micros(i))%(y.rules.Report/step) == 0 {
+				r.heard = y.now
+			}
+		}
+		for _, v := range y.j.Look(Scene{Now: y.now, Blind: y.blind}, func(yield func(*Facts)) {
+			for _, r := range y.all {
+				if r.lostAt == 0 {
+					yield(&Facts{Name: r.name, Zone: r.zone, Addr: r.name, Heard: r.heard})
+				}
+			}
+		}) {
+			r := y.byName[v.Name]
+			r.lostAt, r.why, r.inCut = y.now, v.Why, y.now < y.cut[r.zone]+y.rules.Report
+			y.j.Forget(v.Name)
+		}
+	}
+}
+
+func (y *yard) lost() (n int) {
+	for _, r := range y.all {
+		if r.lostAt != 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// A hundred machines that stop in one moment are told from hung ones well before their
+// lease is over, and without a storm of questions.
+func TestManyDeaths(t *testing.T) {
+	y := newYard(2, 200)
+	y.run(10 * loop.Second)
+	y.fall(stopped, 0, y.all[:100]...)
+	y.run(y.rules.late() + 12*loop.Second)
+	if y.lost() != 100 {
+		t.Fatalf("%d of 100 dead machines are lost after %d us", y.lost(), y.rules.late()+12*loop.Second)
+	}
+	for _, r := range y.all[:100] {
+		if took := r.lostAt - r.since; r.why != "dead" || took >= y.rules.Lease {
+			t.Fatalf("%s is lost as %q after %d us", r.name, r.why, took)
+		}
+	}
+	if y.most > y.rules.Probes+2 || y.probes > 350 {
+		t.Fatalf("%d probes, %d at once", y.probes, y.most)
+	}
+	if y.j.moment.state != Calm || y.j.moment.lost != 100 {
+		t.Fatalf("the moment is %v with %d lost", y.j.moment.state, y.j.moment.lost)
+	}
+}
+
+// Half of a zone hangs and comes back within its lease: nothing is lost, and nothing may
+// be rented for it meanwhile.
+func TestHungMachinesComeBack(t *testing.T) {
+	y := newYard(2, 100)
+	y.run(10 * loop.Second)
+	y.fall(hangs, y.now+y.rules.Lease-4*loop.Second, y.all[:50]...)
+	y.run(y.rules.Lease - 5*loop.Second)
+	n := 0
+	y.j.Doubtful(func(string) { n++ })
+	if n != 50 {
+		t.Fatalf("%d of 50 hung machines count as coming back", n)
+	}
+	y.run(60 * loop.Second)
+	if y.lost() != 0 {
+		t.Fatalf("%d machines are lost that hung for less than their lease", y.lost())
+	}
+	y.fall(hangs, 0, y.all[:50]...)
+	y.run(y.rules.Lease + 4*loop.Second)
+	if y.lost() != 50 {
+		t.Fatalf("%d of 50 machines are lost that hang for good", y.lost())
+	}
+}
+
+// What this node cannot reach, although others there are heard, may be cut off from this
+// node alone: neighbours that do not answer either take the verdict of death away.
+func TestOwnWayCut(t *testing.T) {
+	y := newYard(1, 60)
+	y.run(10 * loop.Second)
+	y.cutOff = true
+	y.fall(hangs, y.now+24*loop.Second, y.all[:20]...)
+	y.run(40 * loop.Second)
+	if y.lost() != 0 {
+		t.Fatalf("%d machines are lost to a node that reaches none", y.lost())
+	}
+}
+
+// The judge against the truth: machines of any number of zones fall in any way, alone
+// and together, and some come back.
+func TestJudgeAgainstTruth(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		zones, each := rapid.IntRange(1, 6).Draw(t, "zones"), rapid.IntRange(1, 40).Draw(t, "each")
+		y := newYard(zones, each)
+		y.run(5 * loop.Second)
+		for range rapid.IntRange(1, 5).Draw(t, "falls") {
+			var back loop.Micros
+			if rapid.Bool().Draw(t, "comes back") {
+				back = y.now + loop.Micros(rapid.IntRange(1, 40).Draw(t, "seconds"))*loop.Second
+			}
+			if is := truth(rapid.IntRange(0, 2).Draw(t, "is")); is == well {
+				y.cut[fmt.Sprint("z", rapid.IntRange(0, zones-1).Draw(t, "zone"))] = y.now + loop.Micros(rapid.IntRange(1, 60).Draw(t, "cut"))*loop.Second
+			} else {
+				if is == stopped {
+					back = 0
+				}
+				for _, r := range y.all {
+					if rapid.IntRange(0, 3).Draw(t, "which") == 0 {
+						y.fall(is, back, r)
+					}
+				}
+			}
+			y.run(loop.Micros(rapid.IntRange(1, 30).Draw(t, "later")) * loop.Second)
+		}
+		y.run(60 * loop.Second)
+		clear(y.cut)
+		y.run(60 * loop.Second)
+		for _, r := range y.all {
+			silence := r.lostAt - r.heard
+			switch {
+			case r.lostAt == 0 && r.is != well && r.back == 0:
+				t.Fatalf("%s is %v for good, and never lost", r.name, r.is)
+			case r.lostAt == 0:
+			case r.is == well && silence > y.rules.Lease && r.lostAt-r.wellAt <= 2*loop.Second:
+				// It went on when its lease was over, just after it was asked for the last time.
+			case r.is == well && r.inCut && silence > y.rules.Lease+y.rules.Out:
+			case r.is == well:
+				t.Fatalf("%s is well, and lost as %q: silent for %d us, well for %d us", r.name, r.why, silence, r.lostAt-r.wellAt)
+			case r.is == hangs && silence <= y.rules.Lease:
+				t.Fatalf("%s hangs, and is lost as %q after %d us", r.name, r.why, silence)
+			case r.why == "dead" && r.is != stopped:
+				t.Fatalf("%s is called dead, and is %v", r.name, r.is)
+			}
+		}
+		if y.most > y.rules.Probes+zones {
+			t.Fatalf("%d probes at once", y.most)
+		}
+	})
+}
+
+// A node that hears nobody judges nobody.
+func TestBlind(t *testing.T) {
+	y := newYard(1, 10)
+	y.run(5 * loop.Second)
+	y.blind = true
+	y.fall(stopped, 0, y.all...)
+	y.run(90 * loop.Second)
+	if y.lost() != 0 || y.probes != 0 {
+		t.Fatalf("%d lost, %d probes by a node that hears no peer", y.lost(), y.probes)
+	}
+}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -518,6 +518,9 @@
 // Entitled tells whether this node's lease certainly holds.
 func (b *Member) Entitled() bool { return b.state == Active && b.r.Now() < b.until }
 
+// Lease is the lease that this node holds, as far as it knows; 0: none.
+func (b *Member) Lease() uint64 { return b.lease }
+
 // Epoch is the newest epoch, for tokens; 0 while there is none.
 func (b *Member) Epoch() uint64 {
 	if b.inst == 0 {
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -28,6 +28,10 @@
 	lag      prometheus.Histogram
 	requests *prometheus.CounterVec
 	whys     prometheus.Histogram
+	probes   *prometheus.CounterVec
+	doubtful prometheus.Gauge
+	moments  *prometheus.HistogramVec
+	reruns   prometheus.Histogram
 }
 
 // Seconds from a millisecond to an hour, and from a tenth of a millisecond to seconds.
@@ -68,6 +72,12 @@
 	m.lag = histogram("loop_lag_seconds", "How much later than asked a timer of the loop ran.", shortBuckets)
 	m.requests = counters("api_requests_total", "Requests under /v1/ by status class.", "status")
 	m.whys = histogram("why_seconds", "How long gathering one explanation held the loop.", shortBuckets)
+	m.probes = counters("probes_total", "Silent machines that were asked directly, by what came of it.", "word")
+	m.doubtful = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "cleatpick", Name: "machines_in_doubt", Help: "Silent machines of which nobody can tell yet whether they come back; told by the leader."})
+	m.moments = prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: "cleatpick", Name: "moment_machines",
+		Help: "Machines that fell silent together, and those of them that were lost.", Buckets: prometheus.ExponentialBuckets(5, 2, 11)}, []string{"what"})
+	m.reg.MustRegister(m.doubtful, m.moments)
+	m.reruns = histogram("rerun_seconds", "From the last word of a machine that was lost until a task of it ran again.", longBuckets)
 	m.reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -117,6 +127,38 @@
 	}
 }
 
+// words are what comes of asking a silent machine, in the order of loss.Word.
+var words = [...]string{"none", "answered", "mute", "noWay"}
+
+// Probe counts a silent machine that was asked directly.
+func (m *Meter) Probe(word int) {
+	if m != nil && word >= 0 && word < len(words) {
+		m.probes.WithLabelValues(words[word]).Inc()
+	}
+}
+
+// Doubtful tells how many machines are in doubt now.
+func (m *Meter) Doubtful(n int) {
+	if m != nil {
+		m.doubtful.Set(float64(n))
+	}
+}
+
+// Moment counts a fall of many machines that is over.
+func (m *Meter) Moment(silent, lost int) {
+	if m != nil {
+		m.moments.WithLabelValues("silent").Observe(float64(silent))
+		m.moments.WithLabelValues("lost").Observe(float64(lost))
+	}
+}
+
+// Rerun counts a task of a lost machine that runs again.
+func (m *Meter) Rerun(took loop.Micros) {
+	if m != nil {
+		m.reruns.Observe(seconds(took))
+	}
+}
+
 // Wait counts a cause that has ended; the causes are a fixed list.
 func (m *Meter) Wait(cause string, took loop.Micros) {
 	if m != nil {
--- /dev/null
+++ b/internal/node/cost_test.go
@@ -0,0 +1,90 @@
+package node
+
+import (
+	"fmt"
+	"math"
+	"runtime"
+	"testing"
+
+	"cleatpick/internal/config"
+	"cleatpick/internal/job"
+	"cleatpick/internal/loop"
+	"cleatpick/internal/standin"
+	"cleatpick/internal/wire"
+)
+
+// crowd is a deployment of any number of machines and nodes with a load that keeps four
+// fifths of the machines busy, the same for each machine: tasks of two CPUs on machines
+// of sixteen that run for a minute or two.
+func crowd(t testing.TB, nodes, machines int) *world {
+	w := newWorldOf(t, 1, size{nodes: nodes, zones: 2, each: machines / 2}, func(c *config.Config) {
+		c.Cluster.Teams = nil
+		cpus := float64(machines * 16)
+		for i := range 4 {
+			c.Cluster.Teams = append(c.Cluster.Teams, config.Team{Name: fmt.Sprint("t", i), CPUs: cpus / 4, CPUsMax: cpus / 2})
+		}
+		c.Cluster.Workers.ReportS, c.Cluster.Workers.LeaseS, c.Cluster.Workers.CancelS = 5, 26, 46
+		// What the state service takes grows with the fleet: what is measured is the nodes.
+		c.Cluster.State.RPS, c.Cluster.State.WriteRPS, c.Cluster.State.ValueKB = 180+float64(machines)/4, 70+float64(machines)/10, 32
+		c.Cluster.Cloud.RPS = 10 + float64(machines)/50
+		c.Operator.StandbyMeanS, c.Operator.OrdinaryStandbyMeanS = 600, 600
+	})
+	w.cloud = standin.NewCloud(wire.MachineType{Name: "m16", CPUs: 16, MemoryGB: 32, CacheGB: 60, FetchGBs: 1, Price: 1, SpotPrice: 0.3, BootS: 5, Zones: w.zones}, machines/2)
+	w.cloud.Up = func(m wire.Listed) { w.at(w.between(2*loop.Second, 6*loop.Second), func() { w.boot(m) }) }
+	w.cloud.Gone = w.destroy
+	for _, l := range w.labels {
+		w.nodes[l].alive = false
+		w.startNode(l)
+	}
+	no := 0
+	arrive := func() {
+		no++
+		r := w.rng
+		s := &job.Spec{Class: "k", Team: fmt.Sprint("t", r.IntN(4)), Priority: job.Priority(r.IntN(3)), Tasks: min(int(35*math.Exp(0.7*r.NormFloat64()))+1, 400),
+			CPUs: 2, MemoryGB: 3, Image: fmt.Sprint("i", r.IntN(12)), ImageGB: 1, AnyType: true, Spot: true, Estimate: 60 * loop.Second}
+		j := &simJob{id: fmt.Sprintf("job-%06d", no), spec: s, run: w.between(50*loop.Second, 110*loop.Second)}
+		w.jobs[j.id] = j
+		w.submit(j)
+		w.at(5*loop.Second, func() { w.poll(j) })
+	}
+	// Some 44 tasks a job and 80 s a task; eight of them fill a machine.
+	jobs := float64(machines) * 8 * 0.8 / 44
+	for i := range int(jobs) {
+		w.at(2*loop.Second+loop.Micros(i)*20*loop.Second/loop.Micros(jobs+1), arrive)
+	}
+	for i := range int(jobs * 2) {
+		w.at(25*loop.Second+loop.Micros(float64(i)*80/jobs*1e6), arrive)
+	}
+	w.at(0, w.live)
+	return w
+}
+
+// BenchmarkCrowd tells what a machine costs the nodes each second, all of them together,
+// at several sizes: it must not grow with the fleet.
+//
+//	go test -run - -bench Crowd -benchtime 1x ./internal/node
+func BenchmarkCrowd(b *testing.B) {
+	for _, c := range []struct{ nodes, machines int }{{3, 200}, {3, 1000}, {3, 2000}, {3, 5000}, {5, 1000}, {15, 1000}} {
+		b.Run(fmt.Sprintf("nodes=%d/machines=%d", c.nodes, c.machines), func(b *testing.B) {
+			for range b.N {
+				w := crowd(b, c.nodes, c.machines)
+				w.run(3660 * loop.Second)
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				from := w.cost
+				starts := w.starts
+				const seconds = 40
+				w.run(3660*loop.Second + seconds*loop.Second)
+				runtime.ReadMemStats(&after)
+				up := float64(len(w.present()))
+				b.ReportMetric(float64((w.cost.own-from.own).Microseconds())/up/seconds, "us/machine/s")
+				b.ReportMetric(float64(w.cost.bytes-from.bytes)/up/seconds, "B/machine/s")
+				b.ReportMetric(float64(w.cost.frames-from.frames)/seconds, "frames/s")
+				b.ReportMetric(float64(w.starts-starts)/seconds, "starts/s")
+				b.ReportMetric(up, "machines")
+				b.ReportMetric(float64(before.HeapAlloc)/1e6, "MB")
+			}
+		})
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 	"cleatpick/internal/front"
 	"cleatpick/internal/job"
 	"cleatpick/internal/loop"
+	"cleatpick/internal/loss"
 	"cleatpick/internal/member"
 	"cleatpick/internal/metric"
 	"cleatpick/internal/peer"
@@ -56,6 +57,8 @@
 	Watch   store.Doer
 	Cloud   store.Doer
 	Workers func(addr, method, path string, body []byte, timeout time.Duration) store.Response
+	// Probe asks a silent worker whether it is there; it blocks.
+	Probe func(addr string) loss.Word
 }
 
 // New wires a node to the real outside; Run works it.
@@ -81,6 +84,7 @@
 		Workers: func(addr, method, path string, body []byte, timeout time.Duration) store.Response {
 			return store.Exchange(workers, addr, method, path, body, timeout)
 		},
+		Probe: probe,
 	})
 }
 
@@ -184,7 +188,7 @@
 		Cordoned: func(typ, zone string, spot bool) bool {
 			return n.cordons.Barred(cordon.Place{Type: typ, Zone: zone, Spot: spot})
 		},
-		Probe: n.probe,
+		Probe: out.Probe,
 	})
 	n.rental.OnGone = n.placer.Gone
 	n.book.OnJob = func(j *job.Job) {
@@ -429,11 +433,6 @@
 	return n.out.Workers(addr, "POST", "/commands", wire.Marshal(c), timeout)
 }
 
-func (n *Node) probe(addr string) bool {
-	r := n.out.Workers(addr, "GET", "/inspect", nil, 1500*time.Millisecond)
-	return r.Err == nil && r.Status == 200
-}
-
 func (n *Node) status() {
 	s := &peer.Status{Wall: n.loop.Wall(), Contact: n.contact() && n.member.Entitled(), Hosted: n.agent.Hosted()}
 	if !s.Contact {
--- /dev/null
+++ b/internal/node/probe.go
@@ -0,0 +1,39 @@
+package node
+
+import (
+	"errors"
+	"net"
+	"syscall"
+	"time"
+
+	"cleatpick/internal/loss"
+	"cleatpick/internal/store"
+
+	"github.com/valyala/fasthttp"
+)
+
+// How long a probe waits for a connection, and then for an answer.
+const (
+	probeConnect = time.Second
+	probeAnswer  = time.Second
+)
+
+// probe asks a machine whether it is there, over a connection of its own: one that is
+// left from before cannot tell a machine without power from one that hangs.
+func probe(addr string) loss.Word {
+	conn, err := fasthttp.DialTimeout(addr, probeConnect)
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return loss.Mute
+	case err != nil:
+		return loss.NoWay
+	}
+	defer conn.Close()
+	c := &fasthttp.HostClient{Addr: addr, MaxConns: 1, MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true,
+		MaxResponseBodySize: 256 << 10, Dial: func(string) (net.Conn, error) { return conn, nil }}
+	defer c.CloseIdleConnections()
+	if r := store.Exchange(c, addr, "GET", "/inspect", nil, probeAnswer); r.Err == nil && r.Status == 200 {
+		return loss.Answered
+	}
+	return loss.Mute
+}
--- a/internal/node/together_test.go
+++ b/internal/node/together_test.go
@@ -107,7 +107,15 @@
 		// Shorter and longer than the node's lease (4 s), a start's expiry (6 s), a
 		// worker's lease (10 s) and a cancellation (30 s).
 		d := [...][2]loop.Micros{{1, 4}, {4, 6}, {6, 10}, {10, 30}, {30, 40}}[w.rng.IntN(5)]
-		w.freeze(w.labels[w.rng.IntN(len(w.labels))], w.between(d[0]*loop.Second, d[1]*loop.Second))
+		label, long := w.labels[w.rng.IntN(len(w.labels))], w.between(d[0]*loop.Second, d[1]*loop.Second)
+		if w.rng.IntN(2) == 0 {
+			w.freeze(label, long)
+			return
+		}
+		// The worst moment: its renewal, its record or its order has been taken in, and
+		// the answer finds it asleep.
+		words := []string{"/extend", "x/red", "x/blue", "/machines"}[w.rng.IntN(4)]
+		w.nodes[label].after(words, func() { w.freeze(label, long) })
 	}},
 	{"hangs", func(w *world) { w.hang(w.some(0.1+0.3*w.rng.Float64()), w.between(3*loop.Second, 9*loop.Second)) }},
 	{"long hangs", func(w *world) { w.hang(w.some(0.1+0.3*w.rng.Float64()), w.between(10*loop.Second, 22*loop.Second)) }},
@@ -180,8 +188,100 @@
 			w.at(15*loop.Second, func() { w.moment(3600*loop.Second + 130*loop.Second) })
 			w.at(0, w.live)
 			w.at(0, w.checkCancelled)
+			w.at(0, w.checkBeliefs)
 			w.run(3600*loop.Second + 600*loop.Second)
 			w.settled(30)
 		})
 	}
 }
+
+// leader is who leads, by the state service; empty: nobody does.
+func (w *world) leader() string {
+	for _, l := range w.labels {
+		if s := w.nodes[l]; s.alive && !s.frozen {
+			if _, leads := s.n.member.Leads(); leads {
+				return l
+			}
+		}
+	}
+	return w.labels[0]
+}
+
+// Each case that the larger fleet brings, by itself and at a fixed size.
+func TestHardCases(t *testing.T) {
+	const second = loop.Second
+	usual := size{nodes: 3, zones: 2, each: 60}
+	for _, c := range []struct {
+		name string
+		size size
+		lag  loop.Micros
+		do   func(w *world)
+	}{
+		{"an owner stands still between a record and what came of it", usual, 0, func(w *world) {
+			for _, l := range w.labels {
+				w.nodes[l].after("x/", func() { w.freeze(l, w.between(8*second, 14*second)) })
+			}
+		}},
+		{"the leader stands still with rents on their way", usual, 2 * second, func(w *world) {
+			l := w.leader()
+			w.nodes[l].after("/machines", func() { w.freeze(l, 15*second) })
+		}},
+		{"a host stands still, and its workers go elsewhere", usual, 0, func(w *world) { w.freeze(w.labels[1], 25*second) }},
+		{"half of a zone hangs and comes back a lease later", usual, 0, func(w *world) {
+			var names []string
+			for i, name := range w.present() {
+				if w.workers[name].w.Zone == "x" && i%2 == 0 {
+					names = append(names, name)
+				}
+			}
+			w.hang(names, 20*second)
+		}},
+		{"many deaths beside a full cloud", usual, 2 * second, func(w *world) {
+			kept := w.cloud.Take()
+			w.die(w.some(0.7))
+			w.at(40*second, func() { w.cloud.Give(kept) })
+		}},
+		{"deaths during an outage of the state service", usual, 0, func(w *world) {
+			w.state.SetDown(true)
+			w.die(w.some(0.5))
+			w.at(18*second, func() { w.state.SetDown(false) })
+		}},
+		{"all nodes are killed while deletions wait", usual, 0, func(w *world) {
+			w.die(w.some(0.9))
+			w.nodes[w.leader()].after("/machines/delete", func() {
+				for _, l := range w.labels {
+					w.kill(l)
+				}
+			})
+		}},
+		{"the list still shows the dead", usual, 20 * second, func(w *world) { w.die(w.some(0.5)) }},
+		{"one type, one zone, one node", size{1, 1, 40}, 0, func(w *world) {
+			w.hang(w.some(0.3), 14*second)
+			w.at(3*second, func() { w.die(w.some(0.2)) })
+			w.freeze("a", 7*second)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			w := newWorldOf(t, 5, c.size, func(cfg *config.Config) {
+				n := float64(c.size.zones * c.size.each * 8)
+				cfg.Cluster.Teams = []config.Team{{Name: "red", CPUs: n / 5, CPUsMax: n / 3}, {Name: "blue", CPUs: n / 8, CPUsMax: n / 2}}
+			})
+			w.cloud.Lag = c.lag
+			for i := range 120 {
+				w.at(w.between(second, 90*second), func() { w.addJob(i) })
+			}
+			done := false
+			w.at(40*second, func() { c.do(w); done = true })
+			w.at(75*second, func() { c.do(w) })
+			w.at(0, w.live)
+			w.at(0, w.checkCancelled)
+			w.at(0, w.checkBeliefs)
+			w.run(3600*second + 500*second)
+			w.settled(100)
+			if !done {
+				t.Error("nothing was brought about")
+			}
+		})
+	}
+}
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -9,12 +9,14 @@
 	"math/rand/v2"
 	"os"
 	"sort"
+	"strings"
 	"testing"
 	"time"
 
 	"cleatpick/internal/config"
 	"cleatpick/internal/job"
 	"cleatpick/internal/loop"
+	"cleatpick/internal/loss"
 	"cleatpick/internal/peer"
 	"cleatpick/internal/standin"
 	"cleatpick/internal/store"
@@ -71,6 +73,22 @@
 	onBegan func(x *simWorker, task string)
 	zones   []string           // of the machines; nodes stand in them in turn
 	zoneCut map[string]cutMode // zones that are cut off from all others
+	cost    cost
+}
+
+// cost is what the nodes' own code takes, told from the world around it.
+type cost struct {
+	own    time.Duration // in the nodes, less what they ask of the world
+	frames int
+	bytes  int
+}
+
+// outside runs what the world does for a node, and leaves it out of the node's cost.
+func outside[T any](w *world, f func() T) T {
+	began := time.Now()
+	v := f()
+	w.cost.own -= time.Since(began)
+	return v
 }
 
 type cutMode int
@@ -90,6 +108,21 @@
 	// frozen: the process stands still while its clocks run on; held is what came meanwhile.
 	frozen bool
 	held   []func()
+	cost   *cost // of all nodes
+	// then is called once when a request of its that holds words has been carried out.
+	words string
+	then  func()
+}
+
+// after calls f when the node's next request with these words has been carried out, and
+// before it gets the answer: the worst moment to stand still.
+func (s *simNode) after(words string, f func()) { s.words, s.then = words, f }
+
+func (s *simNode) carried(path string, body []byte) {
+	if f := s.then; f != nil && (strings.Contains(path, s.words) || strings.Contains(string(body), s.words)) {
+		s.then = nil
+		f()
+	}
 }
 
 type simWorker struct {
@@ -155,7 +188,9 @@
 	case s.frozen:
 		s.held = append(s.held, func() { s.enter(gen, f) })
 	default:
+		began := time.Now()
 		f()
+		s.cost.own += time.Since(began)
 	}
 }
 
@@ -171,7 +206,9 @@
 }
 
 func (l link) Do(method, path string, body []byte, _ time.Duration) store.Response {
-	return l.w.cross(l.name, func() store.Response { return l.do(method, path, body) })
+	return outside(l.w, func() store.Response {
+		return l.w.cross(l.name, func() store.Response { return l.do(method, path, body) })
+	})
 }
 
 func (w *world) cross(name string, f func() store.Response) store.Response {
@@ -248,7 +285,7 @@
 	w.cloud.Up = func(m wire.Listed) { w.at(w.between(2*loop.Second, 8*loop.Second), func() { w.boot(m) }) }
 	w.cloud.Gone = w.destroy
 	for i, l := range w.labels {
-		w.nodes[l] = &simNode{off: loop.Micros(i%3-1) * 90 * loop.Millisecond, zone: w.zones[i%len(w.zones)]}
+		w.nodes[l] = &simNode{cost: &w.cost, off: loop.Micros(i%3-1) * 90 * loop.Millisecond, zone: w.zones[i%len(w.zones)]}
 	}
 	for _, l := range w.labels {
 		w.startNode(l)
@@ -280,7 +317,7 @@
 	}
 	s.alive = true
 	s.gen++
-	s.frozen, s.held = false, nil
+	s.frozen, s.held, s.then = false, nil, nil
 	cfg := w.cfg
 	cfg.Label = label
 	for _, p := range w.labels {
@@ -289,14 +326,24 @@
 		}
 	}
 	r := runner{w, s, s.gen}
-	state := link{w, label + ">state", func(m, p string, b []byte) store.Response { return w.state.Do(m, p, b, 0) }}
+	state := link{w, label + ">state", func(m, p string, b []byte) store.Response {
+		resp := w.state.Do(m, p, b, 0)
+		s.carried(p, b)
+		return resp
+	}}
 	s.n = Wire(&cfg, slog.New(w.logs(label)), Outside{Loop: r, State: state, Watch: state,
-		Cloud: link{w, label + ">cloud", func(m, p string, b []byte) store.Response { return w.cloud.Do(m, p, b, 0) }},
+		Cloud: link{w, label + ">cloud", func(m, p string, b []byte) store.Response {
+			resp := w.cloud.Do(m, p, b, 0)
+			s.carried(p, b)
+			return resp
+		}},
 		Workers: func(addr, method, path string, body []byte, _ time.Duration) store.Response {
-			return w.direct(label, addr, path, body)
-		}})
+			return outside(w, func() store.Response { return w.direct(label, addr, path, body) })
+		}, Probe: func(addr string) loss.Word { return w.probe(label, addr) }})
 	s.n.net.Deliver = func(to string, frame []byte) {
 		f := append([]byte(nil), frame...)
+		w.cost.frames++
+		w.cost.bytes += len(f)
 		d := w.between(300, 3000)
 		switch w.cut[label+">"+to] {
 		case dropping:
@@ -325,6 +372,19 @@
 	w.at(w.between(2*loop.Second, 8*loop.Second), func() { w.startNode(label) })
 }
 
+// probe tells what a node finds that asks a worker. A machine that hangs takes connections.
+func (w *world) probe(from, addr string) loss.Word {
+	x := w.workers[addr[len("worker:"):]]
+	switch {
+	case x == nil || x.gone || w.toWorker(from, x) != open:
+		return loss.NoWay
+	case x.hanging:
+		return loss.Mute
+	}
+	x.w.Report()
+	return loss.Answered
+}
+
 // direct carries a command straight to a worker.
 func (w *world) direct(from, addr, path string, body []byte) store.Response {
 	x := w.workers[addr[len("worker:"):]]
@@ -461,9 +521,11 @@
 		w.fail("wrong_place: %s on %s", task, x.w.Name)
 	}
 	zones := map[string]int{x.w.Zone: 1}
-	for t, m := range w.active {
-		if o, _, _ := agent.SplitTask(t); o == id {
-			zones[w.workers[m].w.Zone]++
+	if j.spec.OneZone || j.spec.Spread {
+		for t, m := range w.active {
+			if o, _, _ := agent.SplitTask(t); o == id {
+				zones[w.workers[m].w.Zone]++
+			}
 		}
 	}
 	if j.spec.OneZone && len(zones) > 1 || j.spec.Spread && zones[x.w.Zone] > (j.spec.Tasks+1)/2 {
@@ -640,6 +702,17 @@
 	w.at(loop.Second, w.checkCancelled)
 }
 
+// checkBeliefs looks for nodes that hold themselves for entitled although their lease has
+// run out. One that peers have ended is another matter: all that hangs on it is fenced.
+func (w *world) checkBeliefs() {
+	for _, l := range w.labels {
+		if s := w.nodes[l]; s.alive && !s.frozen && s.n.member.Entitled() && w.state.Lapsed(s.n.member.Lease()) {
+			w.fail("%s believes in its lease %d, which has run out", l, s.n.member.Lease())
+		}
+	}
+	w.at(50*loop.Millisecond, w.checkBeliefs)
+}
+
 // live lets the workers' own time pass between their reports.
 func (w *world) live() {
 	names := make([]string, 0, len(w.workers))
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -84,6 +84,9 @@
 	Team string  `cbor:"1,keyasint"`
 	CPUs float64 `cbor:"2,keyasint"`
 	GPUs float64 `cbor:"3,keyasint"`
+	// CPUs that the owner's urgent work misses, and its work within a guarantee.
+	Urgent float64 `cbor:"4,keyasint,omitempty"`
+	Within float64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Close asks a host to keep starts off a machine until a time of day.
@@ -131,6 +134,9 @@
 const (
 	maxFrame = 1 << 20
 	maxQueue = 64
+	// gather is for how long additions to a frame are gathered: each frame wakes a process,
+	// and with fifteen nodes there are 210 ways for one.
+	gather = 10 * loop.Millisecond
 )
 
 // link is the outgoing side towards one peer.
@@ -316,7 +322,7 @@
 		return
 	}
 	l.waiting = true
-	n.r.After(5*loop.Millisecond, func() { n.flush(l) })
+	n.r.After(gather, func() { n.flush(l) })
 }
 
 func (n *Net) flush(l *link) {
--- a/internal/placer/commit.go
+++ b/internal/placer/commit.go
@@ -29,7 +29,7 @@
 	outcomeLate = 3 * loop.Second
 	// gather is how long a start waits for its write at least; meanwhile its host can say
 	// that the room was taken by another owner.
-	gather = 30 * loop.Millisecond
+	gather = 35 * loop.Millisecond
 )
 
 const tableKeys = "x/"
--- a/internal/placer/place_test.go
+++ b/internal/placer/place_test.go
@@ -1,14 +1,12 @@
 package placer
 
 import (
-	"flag"
 	"fmt"
 	"io"
 	"log/slog"
 	"maps"
 	"math"
 	"math/rand/v2"
-	"os"
 	"slices"
 	"testing"
 	"time"
@@ -16,6 +14,7 @@
 	"cleatpick/internal/agent"
 	"cleatpick/internal/config"
 	"cleatpick/internal/cordon"
+	"cleatpick/internal/fixed"
 	"cleatpick/internal/job"
 	"cleatpick/internal/loop"
 	"cleatpick/internal/member"
@@ -54,15 +53,7 @@
 }
 
 // The verdict must be the same every time, so the generator's seed is fixed.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
-		if err := f.Value.Set("20261201"); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { fixed.Main(m) }
 
 var types = map[string]wire.MachineType{
 	"m8":  {Name: "m8", CPUs: 8, MemoryGB: 32, Price: 1, SpotPrice: 0.3, BootS: 4, Zones: []string{"x", "y"}},
--- /dev/null
+++ b/internal/placer/proof.go
@@ -0,0 +1,249 @@
+package placer
+
+import (
+	"cleatpick/internal/agent"
+	"cleatpick/internal/gate"
+	"cleatpick/internal/health"
+	"cleatpick/internal/job"
+	"cleatpick/internal/loop"
+	"cleatpick/internal/wire"
+)
+
+// View takes in a machine's newer view: what became of the tasks recorded on it. What is
+// as it was in the view before needs no second look.
+func (p *Placer) View(v *agent.View, c *agent.Changes) {
+	now := p.r.Now()
+	p.zoneMemo[v.Name] = v.Zone
+	// What runs on a machine that was not heard lately may have begun long ago. A new
+	// owner that took its first sight for the beginning found every task slow.
+	old := p.fleet.Slot(v.Name)
+	unsure := old == nil || now-old.Heard > 2*loop.Seconds(p.cfg.Cluster.Workers.ReportS)
+	var before []agent.Task
+	if old == nil {
+		c = &agent.Changes{All: true}
+		if typ, ok := p.n.Type(v.Type); ok && len(v.Tasks) == 0 {
+			p.turn.Free(typ.CPUs) // one that has just come up is room as well
+		}
+	} else {
+		before, p.lastHeard = old.V.Tasks, old.Heard
+	}
+	// Most views only say that a machine lives: nothing is free that was not.
+	quiet := old != nil && c.Still && len(v.Pending)+len(old.V.Pending) == 0 && v.Closed == old.V.Closed && v.NoticeAt == old.V.NoticeAt && !unsure
+	sl := p.fleet.View(v, now, quiet)
+	p.failures.View(now, v, c)
+	sl.Rest(p.failures.Until(v.Name), "tasks fail on it")
+	sl.Jobs = p.agent.Jobs(v)
+	if slow, factor := sl.Runs.Judge(v, c, sl.Jobs, p.paces, now); slow && now >= sl.Shut {
+		p.log.Debug("slow machine rests", "machine", v.Name, "times", factor)
+		sl.Rest(now+health.SlowRest, "its tasks run slowly")
+		sl.Runs.Rest()
+	}
+	p.turn.Free(sl.Runs.Note(v, c, before, sl.Jobs, now, unsure))
+	p.judgeAll(v, c, sl.Jobs)
+	if v.Host != "" {
+		p.forgets(v, sl.Jobs)
+	}
+	if !quiet {
+		p.Kick()
+	}
+}
+
+// judgeAll draws what a view proves about the tasks in use on its machine. One that was
+// seen there and stands as before proves nothing new.
+func (p *Placer) judgeAll(v *agent.View, c *agent.Changes, jobs []*job.Job) {
+	on := p.on[v.Name]
+	if len(on) == 0 {
+		return
+	}
+	if c.All {
+		for r := range on {
+			p.judge(r.t, r.i, v)
+		}
+		return
+	}
+	for k := range v.Tasks {
+		if !c.Kept(k) {
+			p.judgeNamed(v, v.Tasks[k].Task, jobs[k])
+		}
+	}
+	for r := range on {
+		// Not seen yet, or not listed any more: that the view lacks it may prove it off.
+		if x := r.t.task(r.i); !x.seen || x.lost {
+			p.judge(r.t, r.i, v)
+		}
+	}
+}
+
+// judgeNamed judges a task that has changed on the machine, if it is in use there.
+func (p *Placer) judgeNamed(v *agent.View, name string, j *job.Job) {
+	if j == nil || j.Spec == nil {
+		return
+	}
+	tm := p.teams[j.Spec.Team]
+	if tm == nil {
+		return
+	}
+	if t := tm.jobs[j.ID]; t != nil {
+		if _, i, ok := agent.SplitTask(name); ok && i < j.Tasks {
+			if _, here := p.on[v.Name][ref{t, i}]; here {
+				p.judge(t, i, v)
+			}
+		}
+	}
+}
+
+// judge draws what a view proves about a task.
+func (p *Placer) judge(t *table, i int, v *agent.View) {
+	x := t.task(i)
+	if x.state != Placed {
+		return
+	}
+	name := t.name(i)
+	if v.Session > x.session {
+		// The worker began a new session: all tasks of the one before were killed.
+		p.fell(t, i, p.lastHeard)
+		p.off(t, i, "new session")
+		return
+	}
+	if v.Session < x.session {
+		return
+	}
+	e := v.Find(name, x.attempt)
+	x.lost = x.seen && e == nil
+	if e == nil {
+		if v.Holds(name, x.attempt) {
+			return
+		}
+		// Absent. That proves something only once the start can no longer
+		// arrive: it had expired by every clock, and the worker's patience for
+		// an answer that carries it was over, when the list was made; and the
+		// machine follows its host's token, so that no earlier command can land.
+		safe := x.expiry + p.clockTo() + answerLife
+		if v.Settled && v.At > safe {
+			p.off(t, i, "absent")
+			return
+		}
+		if now := p.r.Now(); p.r.Wall() > safe && now-p.checked[v.Name] > loop.Second {
+			p.checked[v.Name] = now
+			p.n.Check(v.Host, v.Name)
+		}
+		return
+	}
+	x.seen = true
+	if e.Active() {
+		run := e.State == wire.TaskRunning
+		if run != x.running {
+			x.running = run
+			if run {
+				p.again(x, true)
+				t.running++
+				if x.since == 0 {
+					x.since = p.r.Now()
+				}
+			} else {
+				t.running--
+			}
+		}
+		if t.j.Final() {
+			p.stop(t, i, 0)
+		}
+		return
+	}
+	switch {
+	case e.Why == wire.WhyDone && !t.j.Spec.Service:
+		p.again(x, true)
+		p.setTask(t, i, Ended)
+		p.recordOutcome(t, i)
+		t.failures = 0
+		p.maybeDone(t)
+	case e.Why == wire.WhyError:
+		t.failures++
+		t.failedOn[v.Name] = true
+		p.log.Debug("task failed", "task", name, "machine", v.Name)
+		p.backOff(t)
+		p.off(t, i, "error")
+	case e.Why == wire.WhyBusy:
+		// Another attempt of it is there. Until that one is gone, the task is on
+		// this machine.
+		for k := range v.Tasks {
+			if o := &v.Tasks[k]; o.Task == name && o.Active() {
+				p.n.Stop(v.Host, agent.Stop{Machine: v.Name, Task: name, Attempt: o.Attempt})
+				return
+			}
+		}
+		p.off(t, i, "busy")
+	default:
+		p.off(t, i, e.Why)
+	}
+	p.wound(t)
+}
+
+// answerLife is how long a worker waits for the answer to its report, and so how
+// long a start in such an answer can be under way.
+const answerLife = 4200 * loop.Millisecond
+
+func (p *Placer) clockTo() loop.Micros {
+	return loop.Micros(p.cfg.Cluster.ClockOffMS*2*1000) + 200*loop.Millisecond
+}
+
+// backOff slows a job down that fails wherever it runs, so that it does not
+// make every machine look faulty.
+func (p *Placer) backOff(t *table) {
+	if d := gate.BackOffFor(t.failures, len(t.failedOn)); d > 0 {
+		t.holdOff = p.r.Now() + d
+		p.log.Info("job fails everywhere, backing off", "job", t.j.ID, "failures", t.failures, "for_us", d)
+	}
+}
+
+// off takes in that a task was proven off its machine.
+func (p *Placer) off(t *table, i int, why string) {
+	x := t.task(i)
+	p.log.Debug("task off", "task", t.name(i), "machine", x.machine, "attempt", x.attempt, "why", why)
+	p.setTask(t, i, Waiting)
+	p.wound(t)
+}
+
+// forgets asks a machine to forget ended tasks whose outcome is kept or of no use.
+func (p *Placer) forgets(v *agent.View, jobs []*job.Job) {
+	if !v.Settled {
+		return
+	}
+	for k := range v.Tasks {
+		e := &v.Tasks[k]
+		j := jobs[k]
+		if e.Active() || j == nil || j.Final() || j.Spec == nil {
+			continue // of a job that is over, the host forgets it by itself
+		}
+		tm := p.teams[j.Spec.Team]
+		if tm == nil || !tm.loaded || tm.jobs[j.ID] == nil {
+			continue
+		}
+		_, i, ok := agent.SplitTask(e.Task)
+		if !ok || i >= j.Tasks {
+			continue
+		}
+		t := tm.jobs[j.ID]
+		x := t.task(i)
+		// The start must have expired, or a repeat of it could start the task anew.
+		old := e.Attempt < x.attempt || (e.Attempt == x.attempt && (x.state == Completed || x.state == Waiting))
+		if old && p.r.Wall() > x.expiry+p.clockTo()+answerLife {
+			p.n.Stop(v.Host, agent.Stop{Machine: v.Name, Task: e.Task, Attempt: e.Attempt, Forget: true})
+		}
+	}
+}
+
+// Gone takes in that a machine was deleted, and with it all that was on it.
+func (p *Placer) Gone(machine string) {
+	for r := range p.on[machine] {
+		if r.t.task(r.i).state == Placed {
+			if sl := p.fleet.Slot(machine); sl != nil {
+				p.fell(r.t, r.i, sl.Heard)
+			}
+			p.off(r.t, r.i, "machine gone")
+		}
+	}
+	p.fleet.Gone(machine)
+	delete(p.checked, machine)
+	p.failures.Gone(machine)
+	p.Kick()
+}
--- a/internal/placer/table.go
+++ b/internal/placer/table.go
@@ -48,6 +48,7 @@
 	running bool
 	since   loop.Micros // when it was first seen running
 	stopAt  loop.Micros // when a stop was last asked for
+	fellAt  loop.Micros // when its machine, which was lost, was last heard; 0: it runs again or never fell
 	seg     *segment    // where its newest record stands; nil: never recorded
 }
 
--- a/internal/placer/why_test.go
+++ b/internal/placer/why_test.go
@@ -16,6 +16,7 @@
 	"cleatpick/internal/gate"
 	"cleatpick/internal/job"
 	"cleatpick/internal/loop"
+	"cleatpick/internal/peer"
 	"cleatpick/internal/wire"
 )
 
@@ -490,3 +491,51 @@
 	}
 	return strings.Join(out, "; ")
 }
+
+// What a pass notes and tells of a job without room names the gate that is shut: a
+// cordon was once told as a want of room, and operators rented machines for it.
+func TestToldCauses(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		cordon bool
+		spec   job.Spec
+		want   []gate.Kind
+	}{
+		{"no room", false, job.Spec{Tasks: 3, CPUs: 8}, []gate.Kind{gate.Room}},
+		{"no room behind a cordon of others", true, job.Spec{Tasks: 1, CPUs: 64}, []gate.Kind{gate.Room}},
+		{"a cordon", true, job.Spec{Tasks: 1, CPUs: 8}, []gate.Kind{gate.Cordon}},
+		{"a gang", false, job.Spec{Tasks: 3, CPUs: 8, Gang: true}, []gate.Kind{gate.Gang}},
+		{"a limit", false, job.Spec{Tasks: 3, CPUs: 40}, []gate.Kind{gate.Limit, gate.Room}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := &scene{rig: newRig(100, config.Team{Name: "red", CPUs: 50, CPUsMax: 90})}
+			g.p.n.Tells = true
+			g.p.pre.nextRun = 1 << 62
+			var told []gate.Cause
+			g.p.n.Tell = func(all []peer.Progress) {
+				for _, p := range all {
+					if p.Waits {
+						told = p.Causes
+					}
+				}
+			}
+			g.show("n-001", "m8", "x", false)
+			if c.cordon {
+				g.putCordons([]cordon.Cordon{{Name: "c", Reason: "r", Machine: "n-001"}})
+			}
+			s := c.spec
+			s.Class, s.Team, s.MemoryGB, s.Image, s.AnyType, s.Estimate = "k", "red", 1, "i", true, loop.Second
+			g.rig.job(1, s)
+			g.Run(2 * loop.Second)
+			var kinds []gate.Kind
+			for _, x := range told {
+				if x.Kind < gate.Recording || x.Kind == gate.Yield {
+					kinds = append(kinds, x.Kind)
+				}
+			}
+			if !slices.Equal(kinds, c.want) {
+				t.Fatalf("told %v, want %v", told, c.want)
+			}
+		})
+	}
+}
--- a/internal/rental/order.go
+++ b/internal/rental/order.go
@@ -54,6 +54,17 @@
 			add(m.typ, m.zone, m.spot)
 		}
 	}
+	// What many silent machines have free comes back with them, or they are lost and what
+	// ran there misses: to rent for it before that is known is to rent a second fleet.
+	t.losses.Doubtful(func(name string) {
+		m, v := t.machines[name], t.agent.View(name)
+		if m == nil || v == nil || m.state != Up {
+			return
+		}
+		if room, ok := t.agent.Room(v, t.byName[m.typ]); ok {
+			out = append(out, &coming{offer{m.typ, m.zone, m.spot}, room})
+		}
+	})
 	for _, o := range t.orders {
 		if !o.o.Answered && !o.refused {
 			for range o.o.Count {
@@ -206,25 +217,21 @@
 	})
 }
 
-// sendOrder asks the cloud for one recorded order; true if a call was made.
-func (t *Rental) sendOrder() bool {
+// ready is the recorded order that the cloud is to be asked for next; nil: none is. What
+// was answered long ago is dropped.
+func (t *Rental) ready() *order {
 	now := t.r.Now()
-	var names []string
-	for name, o := range t.orders {
+	var first *order
+	for _, o := range t.orders {
 		if o.finished != 0 && now-o.finished > 60*loop.Second {
 			t.dropOrder(o)
 			continue
 		}
-		if o.placed && !o.o.Answered && !o.busy && !o.refused && now >= o.nextTry {
-			names = append(names, name)
+		if o.placed && !o.o.Answered && !o.busy && !o.refused && now >= o.nextTry && (first == nil || o.name < first.name) {
+			first = o
 		}
 	}
-	if len(names) == 0 {
-		return false
-	}
-	slices.Sort(names)
-	t.send(t.orders[names[0]])
-	return true
+	return first
 }
 
 func (t *Rental) send(o *order) {
--- a/internal/rental/rental_test.go
+++ b/internal/rental/rental_test.go
@@ -1,6 +1,8 @@
 package rental
 
 import (
+	"cmp"
+	"fmt"
 	"io"
 	"log/slog"
 	"strings"
@@ -10,6 +12,7 @@
 	"cleatpick/internal/agent"
 	"cleatpick/internal/config"
 	"cleatpick/internal/loop"
+	"cleatpick/internal/loss"
 	"cleatpick/internal/member"
 	"cleatpick/internal/peer"
 	"cleatpick/internal/standin"
@@ -25,6 +28,8 @@
 	calls    []string
 	entitled bool
 	isolated bool
+	word     loss.Word
+	words    map[string]loss.Word // by address, where it differs
 	ups      []wire.Listed
 	deleted  []string
 }
@@ -35,7 +40,7 @@
 }
 
 func newRig(t *testing.T, each int) *rig {
-	g := &rig{Stepped: standin.NewStepped(1000 * loop.Second), entitled: true}
+	g := &rig{Stepped: standin.NewStepped(1000 * loop.Second), entitled: true, word: loss.NoWay, words: map[string]loss.Word{}}
 	cfg := &config.Config{Operator: config.Defaults()}
 	cfg.Cluster.Workers.ReportS, cfg.Cluster.Workers.LeaseS = 1, 10
 	cfg.Cluster.Cloud.RPS, cfg.Cluster.Cloud.ListLagS = 5, 2
@@ -51,7 +56,7 @@
 	g.a = agent.New(g, log, agent.Host{Label: "a", Changed: func(v *agent.View, _ *agent.Changes) { g.t.View(v) }}, nil)
 	g.t = New(g, log, cfg, c, m, g, g.a, Node{Close: func(string, peer.Close) {},
 		Unheard: func(string) bool { return false }, Entitled: func() bool { return g.entitled }, Isolated: func() bool { return g.isolated },
-		Faulty: func(string) bool { return false }, Probe: func(string) bool { return false }})
+		Faulty: func(string) bool { return false }, Probe: func(addr string) loss.Word { return cmp.Or(g.words[addr], g.word) }})
 	m.Start()
 	g.Run(loop.Second)
 	e, ok := m.Get("c/l")
@@ -63,7 +68,7 @@
 }
 
 func (g *rig) hear(name, zone string) {
-	g.a.Learn(&agent.View{Name: name, Type: "m8", Zone: zone, Host: "b", Session: 1, Seq: uint64(g.Now()), At: g.Now()})
+	g.a.Learn(&agent.View{Name: name, Addr: name, Type: "m8", Zone: zone, Host: "b", Session: 1, Seq: uint64(g.Now()), At: g.Now()})
 }
 
 func count(calls []string, part string) (n int) {
@@ -173,3 +178,68 @@
 		t.Fatal("a suspect machine was not proven deleted again")
 	}
 }
+
+// Calls are few: what proves tasks off goes first, and nothing waits for ever.
+func TestWhatTheNextCallIsFor(t *testing.T) {
+	const s = loop.Second
+	usual := agenda{now: 1000 * s, listed: true, listAt: 998 * s, catAt: 990 * s, listEvery: 5 * s}
+	for _, c := range []struct {
+		name string
+		set  func(a *agenda)
+		want duty
+	}{
+		{"no catalog", func(a *agenda) { a.catAt, a.lost = 0, 5 }, readCatalog},
+		{"no list yet", func(a *agenda) { a.listed, a.order = false, true }, readList},
+		{"the lost before an order", func(a *agenda) { a.lost, a.order = 1, true }, deleteLost},
+		{"an order before a list that is due", func(a *agenda) { a.order, a.listAt = true, 994*s }, sendOrder},
+		{"a list that was put off before the lost", func(a *agenda) { a.lost, a.order, a.listAt = 100, true, 980*s }, readList},
+		{"an order before idle machines", func(a *agenda) { a.order, a.idle, a.idleSince = true, 9, 990*s }, sendOrder},
+		{"idle machines after several orders", func(a *agenda) { a.order, a.idle, a.idleSince, a.streak = true, 9, 990*s, mostStreak }, giveBack},
+		{"idle machines gather", func(a *agenda) { a.idle, a.idleSince = 9, 1000*s-gathering+1 }, plan},
+		{"and go together", func(a *agenda) { a.idle, a.idleSince = 9, 1000*s-gathering }, giveBack},
+		{"a full call of them does not wait", func(a *agenda) { a.idle, a.idleSince = mostDeleted, 1000*s }, giveBack},
+		{"an old catalog", func(a *agenda) { a.catAt = 900 * s }, readCatalog},
+		{"nothing waits", func(*agenda) {}, plan},
+	} {
+		a := usual
+		c.set(&a)
+		if got := a.first(); got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+// While many machines are in doubt, nothing is rented for what they have free: when they
+// come back, it would be a second fleet.
+func TestNothingIsRentedForMachinesInDoubt(t *testing.T) {
+	for _, c := range []struct {
+		word loss.Word
+		want bool
+	}{{loss.Mute, false}, {loss.NoWay, true}} {
+		g := newRig(t, 40)
+		g.word, g.t.cfg.Operator.OrdinaryStandbyMeanS = c.word, 1e6
+		g.Run(3 * loop.Second)
+		hear := func(from, to int) {
+			for i := from; i < to; i++ {
+				name := fmt.Sprintf("n-9%05d", i)
+				g.hear(name, "x")
+				if i >= 10 {
+					g.words[name] = loss.Answered
+				}
+			}
+		}
+		hear(0, 20)
+		for range 12 { // ten of them fall silent
+			hear(10, 20)
+			g.Run(500 * loop.Millisecond)
+		}
+		for range 6 {
+			hear(10, 20)
+			g.t.Tally("b", peer.Tally{Wall: g.Now(), Wants: []peer.Want{{CPUs: 8, MemoryGB: 1, AnyType: true, Count: 10}}})
+			g.Run(500 * loop.Millisecond)
+		}
+		if rented := len(g.ups) > 0; rented != c.want {
+			t.Errorf("asking them brings back %v: %d machines are rented for ten misses", c.word, len(g.ups))
+		}
+	}
+}
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -32,6 +32,7 @@
 	tally  uint64
 	keys   map[string]stateKey
 	leases map[uint64]*stateLease
+	lapsed map[uint64]bool
 	events []wire.Event
 	last   uint64
 	down   bool
@@ -41,7 +42,7 @@
 
 // NewState makes an empty state service on a clock.
 func NewState(now func() loop.Micros) *State {
-	return &State{now: now, keys: map[string]stateKey{}, leases: map[uint64]*stateLease{}}
+	return &State{now: now, keys: map[string]stateKey{}, leases: map[uint64]*stateLease{}, lapsed: map[uint64]bool{}}
 }
 
 // SetDown begins or ends an outage; after it every lease has its full time again.
@@ -94,11 +95,20 @@
 	}
 	for id, l := range s.leases {
 		if s.now() >= l.until {
+			s.lapsed[id] = true
 			s.end(id)
 		}
 	}
 }
 
+// Lapsed tells whether a lease ended because nobody renewed it in time.
+func (s *State) Lapsed(id uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	return s.lapsed[id]
+}
+
 func (s *State) end(id uint64) {
 	delete(s.leases, id)
 	s.tally++
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"log/slog"
+	"net"
 	"strconv"
 	"time"
 
@@ -66,7 +67,7 @@
 func NewDoer(addr string, conns int) Doer {
 	return httpDoer{&fasthttp.HostClient{
 		Addr: addr, MaxConns: conns, MaxConnWaitTimeout: time.Second,
-		Dial: func(a string) (c netConn, err error) {
+		Dial: func(a string) (c net.Conn, err error) {
 			return fasthttp.DialTimeout(a, 700*time.Millisecond)
 		},
 		MaxIdleConnDuration:           30 * time.Second,
--- a/internal/store/mirror.go
+++ b/internal/store/mirror.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"net"
 	"sort"
 	"strconv"
 	"strings"
@@ -11,8 +10,6 @@
 	"cleatpick/internal/wire"
 )
 
-type netConn = net.Conn
-
 // Entry is a mirrored key. Mark 0 stands for an absent key.
 type Entry struct {
 	Value wire.Raw
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -1,14 +1,13 @@
 package store
 
 import (
-	"flag"
 	"fmt"
 	"io"
 	"log/slog"
-	"os"
 	"testing"
 	"time"
 
+	"cleatpick/internal/fixed"
 	"cleatpick/internal/loop"
 	"cleatpick/internal/wire"
 
@@ -16,15 +15,7 @@
 )
 
 // The verdict must be the same every time, so the generator's seed is fixed.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
-		if err := f.Value.Set("20261201"); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { fixed.Main(m) }
 
 type still struct {
 	now   loop.Micros
