Idle connections are given up before users are refused; causes and flights have plain checks

Change: above 55% of the sockets a node closes its idle connections to workers, above 65% workers' connections end with the answer to their report. Passes are 40 ms apart, running tasks are looked at for their pace every 5 s. Told causes, their change of kind and each state of a task on its way are checked against plain tables; three wrong lines that passed all tests are caught by them.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -40,6 +40,9 @@
 	cfg *config.Config
 	n   Node
 	srv *fasthttp.Server
+	// Crowded tells whether so many connections are open that workers' are not kept; it
+	// may be nil.
+	Crowded func() bool
 }
 
 // New makes the server.
@@ -79,6 +82,9 @@
 
 func (q quiet) Printf(format string, args ...any) { q.log.Debug("http", "what", format, "args", args) }
 
+// Open is the number of connections that others have opened.
+func (f *Front) Open() int { return int(f.srv.GetOpenConnectionsCount()) }
+
 // Serve works until the listener is closed.
 func (f *Front) Serve(ln net.Listener) error { return f.srv.Serve(ln) }
 
@@ -147,6 +153,9 @@
 		write(ctx, 400, wire.Error{Error: "malformed report"})
 		return
 	}
+	if f.Crowded != nil && f.Crowded() {
+		ctx.SetConnectionClose()
+	}
 	a := ask(f, func(done func(agent.Answer)) { f.n.Agent.Beat(r, done) })
 	if a == nil {
 		later(ctx, 503, 1, "no answer")
--- a/internal/health/runs.go
+++ b/internal/health/runs.go
@@ -29,7 +29,7 @@
 }
 
 // lookAgain is how often tasks that still run are looked at for running too long.
-const lookAgain = 2 * loop.Second
+const lookAgain = 5 * loop.Second
 
 // NewRuns makes an empty memory of a machine's runs.
 func NewRuns() *Runs { return &Runs{runs: map[string]run{}, images: map[string]struct{}{}} }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -63,6 +63,7 @@
 
 // New wires a node to the real outside; Run works it.
 func New(cfg *config.Config, log *slog.Logger) *Node {
+	socks := &sockets{most: cfg.Cluster.Limits.MaxSockets}
 	workers := &fasthttp.Client{
 		MaxConnsPerHost:               2,
 		MaxIdleConnDuration:           20 * time.Second,
@@ -73,10 +74,10 @@
 		ReadBufferSize:                4096,
 		WriteBufferSize:               4096,
 		RetryIfErr:                    func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		Dial:                          func(a string) (net.Conn, error) { return fasthttp.DialTimeout(a, time.Second) },
+		Dial:                          socks.dial,
 		DisableHeaderNamesNormalizing: true,
 	}
-	return Wire(cfg, log, Outside{
+	n := Wire(cfg, log, Outside{
 		Loop:  loop.New(),
 		State: store.NewDoer(cfg.Outside.State, 32),
 		Watch: store.NewDoer(cfg.Outside.State, 4),
@@ -86,6 +87,10 @@
 		},
 		Probe: probe,
 	})
+	socks.served = n.front.Open
+	n.front.Crowded = func() bool { return socks.above(closeBeat) }
+	socks.watch(n.loop, workers.CloseIdleConnections)
+	return n
 }
 
 // Wire wires a node to a given outside.
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -427,6 +427,10 @@
 	}
 }
 
+// passEvery is the least time between two passes. In a large fleet something falls free
+// all the time, and a pass for each of it would look through the same queue every time.
+const passEvery = 40 * loop.Millisecond
+
 // Kick asks for a placement pass soon; many causes share one, the more the longer a
 // pass takes, so that passes leave most of the node's time to everything else.
 func (p *Placer) Kick() {
@@ -434,7 +438,7 @@
 		return
 	}
 	p.placing = true
-	p.r.After(min(25*loop.Millisecond+6*p.took, 400*loop.Millisecond), func() {
+	p.r.After(min(passEvery+6*p.took, 400*loop.Millisecond), func() {
 		p.placing = false
 		p.place()
 	})
--- a/internal/placer/proof.go
+++ b/internal/placer/proof.go
@@ -13,7 +13,6 @@
 // as it was in the view before needs no second look.
 func (p *Placer) View(v *agent.View, c *agent.Changes) {
 	now := p.r.Now()
-	p.zoneMemo[v.Name] = v.Zone
 	// What runs on a machine that was not heard lately may have begun long ago. A new
 	// owner that took its first sight for the beginning found every task slow.
 	old := p.fleet.Slot(v.Name)
@@ -27,11 +26,16 @@
 	} else {
 		before, p.lastHeard = old.V.Tasks, old.Heard
 	}
+	if old == nil || old.V.Zone != v.Zone {
+		p.zoneMemo[v.Name] = v.Zone
+	}
 	// Most views only say that a machine lives: nothing is free that was not.
 	quiet := old != nil && c.Still && len(v.Pending)+len(old.V.Pending) == 0 && v.Closed == old.V.Closed && v.NoticeAt == old.V.NoticeAt && !unsure
 	sl := p.fleet.View(v, now, quiet)
 	p.failures.View(now, v, c)
-	sl.Rest(p.failures.Until(v.Name), "tasks fail on it")
+	if !c.Still {
+		sl.Rest(p.failures.Until(v.Name), "tasks fail on it")
+	}
 	sl.Jobs = p.agent.Jobs(v)
 	if slow, factor := sl.Runs.Judge(v, c, sl.Jobs, p.paces, now); slow && now >= sl.Shut {
 		p.log.Debug("slow machine rests", "machine", v.Name, "times", factor)
--- a/internal/placer/why_test.go
+++ b/internal/placer/why_test.go
@@ -539,3 +539,69 @@
 		})
 	}
 }
+
+// Where a task on its way stands is told by what its machine's host shows, state by state.
+func TestFlightByFlight(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		show  func(g *rig, task agent.Task)
+		wait  loop.Micros
+		kind  gate.Kind
+		state string
+	}{
+		{"sent", func(*rig, agent.Task) {}, 0, gate.Starting, "sent"},
+		{"at its host", func(g *rig, x agent.Task) {
+			g.a.Learn(&agent.View{Name: "n-001", Type: "m8", Zone: "x", Host: "b", Session: 1, Seq: 99, Settled: true, At: g.Now(), Pending: []agent.Task{x}})
+		}, 0, gate.Starting, "atItsHost"},
+		{"fetching", func(g *rig, x agent.Task) { x.State = wire.TaskFetching; g.show("n-001", "m8", "x", false, x) }, 0, gate.Fetching, "fetching"},
+		{"saving", func(g *rig, x agent.Task) { x.State = wire.TaskSaving; g.show("n-001", "m8", "x", false, x) }, 0, gate.Saving, "saving"},
+		{"running", func(g *rig, x agent.Task) { x.State = wire.TaskRunning; g.show("n-001", "m8", "x", false, x) }, 0, 0, ""},
+		{"silent", func(*rig, agent.Task) {}, 12 * loop.Second, gate.Unproven, "silent"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := newRig(100, config.Team{Name: "red", CPUs: 50, CPUsMax: 50})
+			g.show("n-001", "m8", "x", false)
+			id := g.job(1, job.Spec{Class: "k", Team: "red", Tasks: 1, CPUs: 2, MemoryGB: 1, Image: "i", AnyType: true, Estimate: loop.Second})
+			g.Run(300 * loop.Millisecond)
+			if len(g.starts) != 1 {
+				t.Fatalf("%d starts", len(g.starts))
+			}
+			c.show(g, agent.Task{Task: agent.TaskName(id, 0), Attempt: 1})
+			g.Run(c.wait + 50*loop.Millisecond)
+			f, _ := g.p.Facts(id, nil, true)
+			switch {
+			case c.kind == 0 && len(f.Flights) != 0:
+				t.Fatalf("told %+v of a task that runs", f.Flights)
+			case c.kind != 0 && (len(f.Flights) != 1 || f.Flights[0].Kind != c.kind || f.Flights[0].State != c.state):
+				t.Fatalf("told %+v, want %v %s", f.Flights, c.kind, c.state)
+			}
+		})
+	}
+}
+
+// A cause of another kind is told at once, also when it keeps as many tasks.
+func TestCauseOfAnotherKindIsTold(t *testing.T) {
+	g := &scene{rig: newRig(100, config.Team{Name: "red", CPUs: 50, CPUsMax: 90})}
+	g.p.n.Tells = true
+	g.p.pre.nextRun = 1 << 62
+	var told []gate.Cause
+	g.p.n.Tell = func(all []peer.Progress) {
+		for _, p := range all {
+			if p.Waits {
+				told = p.Causes
+			}
+		}
+	}
+	s := job.Spec{Class: "k", Team: "red", Tasks: 1, CPUs: 8, MemoryGB: 1, Image: "i", AnyType: true, Estimate: loop.Second}
+	g.rig.job(1, s)
+	g.Run(1500 * loop.Millisecond)
+	if len(told) != 1 || told[0].Kind != gate.Room {
+		t.Fatalf("told %v of a job without a machine", told)
+	}
+	g.putCordons([]cordon.Cordon{{Name: "c", Reason: "r", Machine: "n-001"}})
+	g.show("n-001", "m8", "x", false)
+	g.Run(1500 * loop.Millisecond)
+	if len(told) != 1 || told[0].Kind != gate.Cordon {
+		t.Fatalf("told %v of a job that only a cordon keeps back", told)
+	}
+}
