--- a/internal/placer/why_test.go
+++ b/internal/placer/why_test.go
@@ -492,6 +492,22 @@
 	return strings.Join(out, "; ")
 }
 
+// teller is a scene with one team that tells causes, and those that it told last.
+func teller() (*scene, *[]gate.Cause) {
+	g := &scene{rig: newRig(100, config.Team{Name: "red", CPUs: 50, CPUsMax: 90})}
+	g.p.n.Tells = true
+	g.p.pre.nextRun = 1 << 62 // stopping others is not looked at here
+	var told []gate.Cause
+	g.p.n.Tell = func(all []peer.Progress) {
+		for _, p := range all {
+			if p.Waits {
+				told = p.Causes
+			}
+		}
+	}
+	return g, &told
+}
+
 // What a pass notes and tells of a job without room names the gate that is shut: a
 // cordon was once told as a want of room, and operators rented machines for it.
 func TestToldCauses(t *testing.T) {
@@ -508,17 +524,7 @@
 		{"a limit", false, job.Spec{Tasks: 3, CPUs: 40}, []gate.Kind{gate.Limit, gate.Room}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			g := &scene{rig: newRig(100, config.Team{Name: "red", CPUs: 50, CPUsMax: 90})}
-			g.p.n.Tells = true
-			g.p.pre.nextRun = 1 << 62
-			var told []gate.Cause
-			g.p.n.Tell = func(all []peer.Progress) {
-				for _, p := range all {
-					if p.Waits {
-						told = p.Causes
-					}
-				}
-			}
+			g, told := teller()
 			g.show("n-001", "m8", "x", false)
 			if c.cordon {
 				g.putCordons([]cordon.Cordon{{Name: "c", Reason: "r", Machine: "n-001"}})
@@ -528,13 +534,13 @@
 			g.rig.job(1, s)
 			g.Run(2 * loop.Second)
 			var kinds []gate.Kind
-			for _, x := range told {
+			for _, x := range *told {
 				if x.Kind < gate.Recording {
 					kinds = append(kinds, x.Kind)
 				}
 			}
 			if !slices.Equal(kinds, c.want) {
-				t.Fatalf("told %v, want %v", told, c.want)
+				t.Fatalf("told %v, want %v", *told, c.want)
 			}
 		})
 	}
@@ -581,27 +587,17 @@
 
 // A cause of another kind is told at once, also when it keeps as many tasks.
 func TestCauseOfAnotherKindIsTold(t *testing.T) {
-	g := &scene{rig: newRig(100, config.Team{Name: "red", CPUs: 50, CPUsMax: 90})}
-	g.p.n.Tells = true
-	g.p.pre.nextRun = 1 << 62
-	var told []gate.Cause
-	g.p.n.Tell = func(all []peer.Progress) {
-		for _, p := range all {
-			if p.Waits {
-				told = p.Causes
-			}
-		}
-	}
+	g, told := teller()
 	s := job.Spec{Class: "k", Team: "red", Tasks: 1, CPUs: 8, MemoryGB: 1, Image: "i", AnyType: true, Estimate: loop.Second}
 	g.rig.job(1, s)
 	g.Run(1500 * loop.Millisecond)
-	if len(told) != 1 || told[0].Kind != gate.Room {
-		t.Fatalf("told %v of a job without a machine", told)
+	if len(*told) != 1 || (*told)[0].Kind != gate.Room {
+		t.Fatalf("told %v of a job without a machine", *told)
 	}
 	g.putCordons([]cordon.Cordon{{Name: "c", Reason: "r", Machine: "n-001"}})
 	g.show("n-001", "m8", "x", false)
 	g.Run(1500 * loop.Millisecond)
-	if len(told) != 1 || told[0].Kind != gate.Cordon {
-		t.Fatalf("told %v of a job that only a cordon keeps back", told)
+	if len(*told) != 1 || (*told)[0].Kind != gate.Cordon {
+		t.Fatalf("told %v of a job that only a cordon keeps back", *told)
 	}
 }
