A new leader gives machines in a zone out of sight as long as one that heard them

Half of the fleet is cut off from 163 to 214.8 s, the leader ends at 175 s, and the next one, which has never heard those machines, deleted some 400 of them at 212 to 214 s: lease and 3 s after it first saw them listed.

Change: where a peer in their zone is not heard, they get the 8 s more that a machine gets that was heard before (TestNewLeaderDuringACut, which fails without).

--- a/internal/rental/machine.go
+++ b/internal/rental/machine.go
@@ -209,8 +209,14 @@
 		}
 	default:
 		// Listed as running, or holding tasks, yet never heard by this
-		// leader: its worker gets the time to find a new host.
-		if now-m.firstSaw > max(lease, 2*report+8*loop.Second)+3*loop.Second {
+		// leader: its worker gets the time to find a new host. In a zone that is out of
+		// sight it gets what a machine gets that was heard before: a leader that began
+		// during a cut deleted half a fleet two seconds before the cut was over.
+		limit := max(lease, 2*report+8*loop.Second) + 3*loop.Second
+		if t.n.Unheard(m.zone) {
+			limit += outOfSight
+		}
+		if now-m.firstSaw > limit {
 			t.lose(m, "not heard")
 		}
 	}
--- a/internal/rental/rental.go
+++ b/internal/rental/rental.go
@@ -133,7 +133,7 @@
 	t := &Rental{r: r, log: log, cfg: cfg, c: c, m: m, cloud: cloud, agent: a, n: n, byName: map[string]wire.MachineType{},
 		tallies: map[string]peer.Tally{}, tallyAt: map[string]loop.Micros{}, deleted: map[string][]string{}, boots: explain.NewDist()}
 	w := cfg.Cluster.Workers
-	t.losses = loss.New(loss.Rules{Report: loop.Seconds(w.ReportS), Lease: loop.Seconds(w.LeaseS), Out: 8 * loop.Second,
+	t.losses = loss.New(loss.Rules{Report: loop.Seconds(w.ReportS), Lease: loop.Seconds(w.LeaseS), Out: outOfSight,
 		Most: loop.Seconds(cfg.Operator.SilentDeleteS), Probes: max(min(64, cfg.Cluster.Limits.MaxSockets/20), 4)}, log, n.Meter, t.probe)
 	m.On(CatalogKey, func(key string, e store.Entry) {
 		var rec catalogRecord
@@ -230,6 +230,10 @@
 // Asked tells whether the machine types are known, so that submissions can be judged.
 func (t *Rental) Asked() bool { return len(t.types) > 0 }
 
+// outOfSight is how much longer than its lease a machine is left alone that nothing tells
+// from one behind a cut.
+const outOfSight = 8 * loop.Second
+
 // judgeEach spaces the looks over all machines out with their number.
 const judgeEach = 200
 
--- a/internal/rental/rental_test.go
+++ b/internal/rental/rental_test.go
@@ -28,6 +28,7 @@
 	calls    []string
 	entitled bool
 	isolated bool
+	unheard  bool // a peer in the machines' zone
 	word     loss.Word
 	words    map[string]loss.Word // by address, where it differs
 	ups      []wire.Listed
@@ -55,7 +56,7 @@
 	g.cloud.Gone = func(name string) { g.deleted = append(g.deleted, name) }
 	g.a = agent.New(g, log, agent.Host{Label: "a", Changed: func(v *agent.View, _ *agent.Changes) { g.t.View(v) }}, nil)
 	g.t = New(g, log, cfg, c, m, g, g.a, Node{Close: func(string, peer.Close) {},
-		Unheard: func(string) bool { return false }, Entitled: func() bool { return g.entitled }, Isolated: func() bool { return g.isolated },
+		Unheard: func(string) bool { return g.unheard }, Entitled: func() bool { return g.entitled }, Isolated: func() bool { return g.isolated },
 		Faulty: func(string) bool { return false }, Probe: func(addr string) loss.Word { return cmp.Or(g.words[addr], g.word) }})
 	m.Start()
 	g.Run(loop.Second)
@@ -243,3 +244,25 @@
 		}
 	}
 }
+
+// A leader that begins during a zone's cut gives the machines there, which it has never
+// heard, as long as one that heard them before would.
+func TestNewLeaderDuringACut(t *testing.T) {
+	for _, cut := range []bool{false, true} {
+		g := newRig(t, 4)
+		g.unheard = cut
+		var got wire.Names
+		r := g.cloud.Do("POST", "/machines", wire.Marshal(wire.Rent{Request: "before", Type: "m8", Zone: "x", Count: 3}), 0)
+		if err := wire.Unmarshal(r.Body, &got); err != nil || len(got.Machines) != 3 {
+			t.Fatal("nothing to rent")
+		}
+		g.Run(17 * loop.Second) // lease 10 s, and 3 s
+		if n := len(g.deleted); (n == 0) != cut {
+			t.Errorf("cut %v: %d of 3 machines are deleted after 17 s", cut, n)
+		}
+		g.Run(12 * loop.Second)
+		if n := len(g.deleted); n != 3 {
+			t.Errorf("cut %v: %d of 3 machines are deleted after 29 s", cut, n)
+		}
+	}
+}
