--- a/internal/node/together_test.go
+++ b/internal/node/together_test.go
@@ -133,6 +133,12 @@
 		w.state.SetDown(true)
 		w.at(w.between(2*loop.Second, 20*loop.Second), func() { w.state.SetDown(false) })
 	}},
+	{"one way", func(w *world) {
+		// What one node says to another comes late, and nothing else does: starts among it.
+		a, b := w.labels[w.rng.IntN(len(w.labels))], w.labels[w.rng.IntN(len(w.labels))]
+		w.cut[a+">"+b] = holding
+		w.at(w.between(8*loop.Second, 40*loop.Second), func() { delete(w.cut, a+">"+b) })
+	}},
 	{"full cloud", func(w *world) {
 		kept := w.cloud.Take()
 		w.at(w.between(10*loop.Second, 40*loop.Second), func() { w.cloud.Give(kept) })
