After reading the change again: dead fields, work done twice, a word of another machine

Change: the neighbour's last word and an unused duty are gone; the words of a probe name themselves instead of a second table in metric; deletions are put in line once; the order that is ready is looked for once a call; a delta's age is judged by View.newer. The time of a machine's last word is handed down instead of kept on the placer: for a machine never heard before, it was another machine's, and the rerun figure with it (TestRerunCountsFromTheMachinesOwnWord).

--- a/internal/agent/delta.go
+++ b/internal/agent/delta.go
@@ -234,8 +234,8 @@
 		return false
 	}
 	old := a.views[d.Name]
-	if old != nil && (old.Session > d.Session || (old.Session == d.Session && (old.Seq > d.Seq || (old.Seq == d.Seq && old.Rev >= d.Rev)))) {
-		return false // late: more is known here
+	if told := (View{Host: from, Session: d.Session, Seq: d.Seq, Rev: d.Rev}); !told.newer(old) {
+		return false // late: as much is known here
 	}
 	if old == nil || old.Host != from {
 		return true
--- a/internal/health/runs.go
+++ b/internal/health/runs.go
@@ -48,7 +48,6 @@
 		return 0
 	}
 	since := make([]loop.Micros, len(v.Tasks))
-	defer func() { r.Since = since }()
 	for i := range v.Tasks {
 		t := &v.Tasks[i]
 		if c.Kept(i) && c.Was(i) < len(r.Since) {
@@ -76,6 +75,7 @@
 			since[i] = o.since
 		}
 	}
+	r.Since = since
 	r.forget(v, c, old)
 	return freed
 }
--- a/internal/loss/loss.go
+++ b/internal/loss/loss.go
@@ -44,6 +44,8 @@
 	NoWay                // no connection came about
 )
 
+func (w Word) String() string { return [...]string{"none", "answered", "mute", "noWay"}[w] }
+
 // Rules are the times by which is judged.
 type Rules struct {
 	Report loop.Micros // between reports
@@ -96,10 +98,9 @@
 
 // zone is what is known of the way to a zone's machines.
 type zone struct {
-	heard   int      // machines that are heard
-	some    []string // addresses of a few of them
-	near    Word     // what came of asking one of these
-	nearAt  loop.Micros
+	heard   int         // machines that are heard
+	some    []string    // addresses of a few of them
+	nearAt  loop.Micros // when one of these was last asked
 	open    loop.Micros // since when neighbours answer without a break; 0: they do not
 	asking  bool
 	noWay   int // silent machines to which no connection came about since then
@@ -164,7 +165,7 @@
 			}
 			if m != nil {
 				j.setState(m, Heard, "it reports")
-				j.moment.back(m)
+				j.moment.back()
 				delete(j.machines, f.Name)
 			}
 			return
@@ -301,7 +302,7 @@
 	} else {
 		m.word, m.times = w, 1
 	}
-	j.meter.Probe(int(w))
+	j.meter.Probe(w.String())
 	if w == Answered {
 		j.setState(m, Alive, "it answers")
 	}
@@ -319,7 +320,7 @@
 	addr := z.some[int(now/again)%len(z.some)]
 	j.probe(addr, func(w Word) {
 		z.asking = false
-		z.near, z.nearAt = w, now
+		z.nearAt = now
 		switch {
 		case w != Answered:
 			z.open = 0
--- a/internal/loss/moment.go
+++ b/internal/loss/moment.go
@@ -41,7 +41,7 @@
 	o.state = s
 }
 
-func (o *moment) back(m *machine) {
+func (o *moment) back() {
 	if o.state == Falling {
 		o.returned++
 	}
@@ -73,7 +73,7 @@
 	o := &j.moment
 	switch {
 	case o.state == Calm && n >= many:
-		*o = moment{state: Calm, began: now, most: n}
+		*o = moment{began: now, most: n}
 		j.setMoment(Falling, now)
 	case o.state == Falling && n > 0:
 		o.most = max(o.most, n)
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -127,13 +127,10 @@
 	}
 }
 
-// words are what comes of asking a silent machine, in the order of loss.Word.
-var words = [...]string{"none", "answered", "mute", "noWay"}
-
-// Probe counts a silent machine that was asked directly.
-func (m *Meter) Probe(word int) {
-	if m != nil && word >= 0 && word < len(words) {
-		m.probes.WithLabelValues(words[word]).Inc()
+// Probe counts a silent machine that was asked directly; the words are a fixed list.
+func (m *Meter) Probe(word string) {
+	if m != nil {
+		m.probes.WithLabelValues(word).Inc()
 	}
 }
 
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -61,17 +61,16 @@
 	placing  bool
 	took     loop.Micros // how long the newest pass took
 
-	commitAt  loop.Micros // when the next commit is due; 0: none
-	zoneMemo  map[string]string
-	nonce     uint64
-	lastWant  []peer.Want
-	usage     map[string]peer.Usage
-	pre       preemptor
-	turn      fleet.Turnover
-	paces     health.Paces
-	checked   map[string]loop.Micros
-	reruns    reruns
-	lastHeard loop.Micros // when the machine was heard whose newer view is taken in
+	commitAt loop.Micros // when the next commit is due; 0: none
+	zoneMemo map[string]string
+	nonce    uint64
+	lastWant []peer.Want
+	usage    map[string]peer.Usage
+	pre      preemptor
+	turn     fleet.Turnover
+	paces    health.Paces
+	checked  map[string]loop.Micros
+	reruns   reruns
 }
 
 // New makes the placer.
--- a/internal/placer/proof.go
+++ b/internal/placer/proof.go
@@ -18,13 +18,14 @@
 	old := p.fleet.Slot(v.Name)
 	unsure := old == nil || now-old.Heard > 2*loop.Seconds(p.cfg.Cluster.Workers.ReportS)
 	var before []agent.Task
+	var heard loop.Micros // the time before this one; 0: never
 	if old == nil {
 		c = &agent.Changes{All: true}
 		if typ, ok := p.n.Type(v.Type); ok && len(v.Tasks) == 0 {
 			p.turn.Free(typ.CPUs) // one that has just come up is room as well
 		}
 	} else {
-		before, p.lastHeard = old.V.Tasks, old.Heard
+		before, heard = old.V.Tasks, old.Heard
 	}
 	if old == nil || old.V.Zone != v.Zone {
 		p.zoneMemo[v.Name] = v.Zone
@@ -43,7 +44,7 @@
 		sl.Runs.Rest()
 	}
 	p.turn.Free(sl.Runs.Note(v, c, before, sl.Jobs, now, unsure))
-	p.judgeAll(v, c, sl.Jobs)
+	p.judgeAll(v, c, sl.Jobs, heard)
 	if v.Host != "" {
 		p.forgets(v, sl.Jobs)
 	}
@@ -54,20 +55,20 @@
 
 // judgeAll draws what a view proves about the tasks in use on its machine. One that was
 // seen there and stands as before proves nothing new.
-func (p *Placer) judgeAll(v *agent.View, c *agent.Changes, jobs []*job.Job) {
+func (p *Placer) judgeAll(v *agent.View, c *agent.Changes, jobs []*job.Job, heard loop.Micros) {
 	on := p.on[v.Name]
 	if len(on) == 0 {
 		return
 	}
 	if c.All {
 		for r := range on {
-			p.judge(r.t, r.i, v)
+			p.judge(r.t, r.i, v, heard)
 		}
 		return
 	}
 	for k := range v.Tasks {
 		if !c.Kept(k) {
-			p.judgeNamed(v, v.Tasks[k].Task, jobs[k])
+			p.judgeNamed(v, v.Tasks[k].Task, jobs[k], heard)
 		}
 	}
 	for r := range on {
@@ -75,13 +76,13 @@
 		// refused beside another attempt, whose end it waits for: judged only when its own
 		// entry changed, such a task once waited for ever.
 		if x := r.t.task(r.i); !x.seen || x.pending {
-			p.judge(r.t, r.i, v)
+			p.judge(r.t, r.i, v, heard)
 		}
 	}
 }
 
 // judgeNamed judges a task that has changed on the machine, if it is in use there.
-func (p *Placer) judgeNamed(v *agent.View, name string, j *job.Job) {
+func (p *Placer) judgeNamed(v *agent.View, name string, j *job.Job, heard loop.Micros) {
 	if j == nil || j.Spec == nil {
 		return
 	}
@@ -92,14 +93,14 @@
 	if t := tm.jobs[j.ID]; t != nil {
 		if _, i, ok := agent.SplitTask(name); ok && i < j.Tasks {
 			if _, here := p.on[v.Name][ref{t, i}]; here {
-				p.judge(t, i, v)
+				p.judge(t, i, v, heard)
 			}
 		}
 	}
 }
 
-// judge draws what a view proves about a task.
-func (p *Placer) judge(t *table, i int, v *agent.View) {
+// judge draws what a view proves about a task. heard is when the machine was heard before.
+func (p *Placer) judge(t *table, i int, v *agent.View, heard loop.Micros) {
 	x := t.task(i)
 	if x.state != Placed {
 		return
@@ -107,7 +108,7 @@
 	name := t.name(i)
 	if v.Session > x.session {
 		// The worker began a new session: all tasks of the one before were killed.
-		p.fell(t, i, p.lastHeard)
+		p.fell(t, i, heard)
 		p.off(t, i, "new session")
 		return
 	}
--- a/internal/placer/terms_test.go
+++ b/internal/placer/terms_test.go
@@ -187,3 +187,24 @@
 		t.Fatalf("the task still waits (state %d, attempt %d)", x.state, x.attempt)
 	}
 }
+
+// Since when a lost task does not run is counted from its own machine's last word. Of a
+// machine that this owner never heard before, nothing is known: another's was once taken.
+func TestRerunCountsFromTheMachinesOwnWord(t *testing.T) {
+	for _, known := range []bool{true, false} {
+		g := newRig(100, config.Team{Name: "red", CPUs: 8, CPUsMax: 50})
+		g.show("n-001", "m8", "x", false)
+		g.job(1, job.Spec{Class: "k", Team: "red", Tasks: 1, CPUs: 8, MemoryGB: 1, Image: "i", AnyType: true, Estimate: loop.Second})
+		g.Run(500 * loop.Millisecond)
+		if !known {
+			g.p.fleet.Gone("n-001")
+		}
+		g.show("n-002", "m8", "x", false)
+		g.show("n-002", "m8", "x", false)
+		g.seq++
+		g.a.Learn(&agent.View{Name: "n-001", Type: "m8", Zone: "x", Host: "b", Session: 2, Seq: g.seq, Settled: true, At: g.Now()})
+		if counted := g.p.reruns.open == 1; counted != known {
+			t.Errorf("known before: %v, counted: %v", known, counted)
+		}
+	}
+}
--- a/internal/rental/deletion.go
+++ b/internal/rental/deletion.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 
 	"cleatpick/internal/loop"
@@ -14,28 +15,20 @@
 // mostDeleted is how many machines one call may delete.
 const mostDeleted = 100
 
-// waiting lists machines that wait for their deletion: those that are lost, or those that
-// are given back, the longest waiting first.
-func (t *Rental) waiting(lost bool) []*machine {
-	var out []*machine
-	for _, m := range t.deleting {
-		if m.lost == lost {
-			out = append(out, m)
+// deleteSome has the machines deleted that have waited longest; what is lost goes first.
+func (t *Rental) deleteSome() {
+	first := func(m *machine) int {
+		if m.lost {
+			return 0
 		}
+		return 1
 	}
-	slices.SortFunc(out, func(a, b *machine) int {
-		return cmp.Or(cmp.Compare(a.deleteAt, b.deleteAt), cmp.Compare(a.name, b.name))
+	all := slices.SortedFunc(maps.Values(t.deleting), func(a, b *machine) int {
+		return cmp.Or(cmp.Compare(first(a), first(b)), cmp.Compare(a.deleteAt, b.deleteAt), cmp.Compare(a.name, b.name))
 	})
-	return out
-}
-
-// deleteSome has the machines deleted that have waited longest; what is lost goes first.
-func (t *Rental) deleteSome() {
 	var names []string
-	for _, m := range append(t.waiting(true), t.waiting(false)...) {
-		if len(names) < mostDeleted {
-			names = append(names, m.name)
-		}
+	for _, m := range all[:min(len(all), mostDeleted)] {
+		names = append(names, m.name)
 	}
 	// Only who leads now may delete; the cloud cannot tell.
 	t.calling = true
--- a/internal/rental/duty.go
+++ b/internal/rental/duty.go
@@ -8,17 +8,16 @@
 
 // The duties.
 const (
-	nothing     duty = iota
-	readCatalog      // what can be rented, and for how much
-	readList         // what is there
-	deleteLost       // proves tasks off that wait for nothing else, and frees capacity
-	sendOrder        // rents for misses
-	giveBack         // saves money
-	plan             // no call: misses become a recorded order
+	readCatalog duty = iota // what can be rented, and for how much
+	readList                // what is there
+	deleteLost              // proves tasks off that wait for nothing else, and frees capacity
+	sendOrder               // rents for misses
+	giveBack                // saves money
+	plan                    // no call: misses become a recorded order
 )
 
 func (d duty) String() string {
-	return [...]string{"nothing", "readCatalog", "readList", "deleteLost", "sendOrder", "giveBack", "plan"}[d]
+	return [...]string{"readCatalog", "readList", "deleteLost", "sendOrder", "giveBack", "plan"}[d]
 }
 
 const (
@@ -68,25 +67,25 @@
 	return plan
 }
 
-// next gathers what waits, and tells what comes first.
-func (t *Rental) next(now loop.Micros) duty {
-	a := agenda{now: now, listed: t.listed, listAt: t.listAt, catAt: t.catAt, streak: t.streak, order: t.ready() != nil,
+// next gathers what waits, and tells what comes first, with the order that is ready.
+func (t *Rental) next(now loop.Micros) (duty, *order) {
+	o := t.ready()
+	a := agenda{now: now, listed: t.listed, listAt: t.listAt, catAt: t.catAt, streak: t.streak, order: o != nil,
 		listEvery: max(5*loop.Second, loop.Seconds(t.cfg.Cluster.Cloud.ListLagS))}
 	for _, m := range t.deleting {
-		switch {
-		case m.lost:
+		if m.lost {
 			a.lost++
-		default:
-			if a.idle++; a.idleSince == 0 || m.deleteAt < a.idleSince {
-				a.idleSince = m.deleteAt
-			}
+			continue
+		}
+		if a.idle++; a.idleSince == 0 || m.deleteAt < a.idleSince {
+			a.idleSince = m.deleteAt
 		}
 	}
-	return a.first()
+	return a.first(), o
 }
 
-// perform does one duty.
-func (t *Rental) perform(d duty) {
+// perform does one duty; o is the order that is ready.
+func (t *Rental) perform(d duty, o *order) {
 	switch d {
 	case readCatalog:
 		t.fetchCatalog()
@@ -97,7 +96,7 @@
 		t.deleteSome()
 	case sendOrder:
 		t.streak++
-		t.send(t.ready())
+		t.send(o)
 	case plan:
 		t.recordOrders()
 	}
