--- a/internal/agent/delta.go
+++ b/internal/agent/delta.go
@@ -182,9 +182,18 @@
 	return &v
 }
 
-// gather is for how long changes of a machine's view are gathered before they are told:
-// a start is seen in several steps that follow each other closely.
-const gather = 25 * loop.Millisecond
+// Changes of a machine's view are gathered before they are told, since a start is seen in
+// several steps that follow each other closely. The larger the fleet, the longer: what
+// each machine costs all nodes is what grows with machines times nodes.
+const (
+	gather     = 25 * loop.Millisecond
+	gatherEach = 40 // microseconds for each machine of the fleet, where that is more
+	gatherMost = 100 * loop.Millisecond
+)
+
+func (a *Agent) gatherFor() loop.Micros {
+	return min(max(gather, loop.Micros(len(a.views)*gatherEach)), gatherMost)
+}
 
 // News is what a host tells the other nodes of its machines.
 type News struct {
@@ -200,7 +209,7 @@
 	m.publishing = true
 	a.toPublish = append(a.toPublish, m)
 	if len(a.toPublish) == 1 {
-		a.r.After(gather, a.publish)
+		a.r.After(a.gatherFor(), a.publish)
 	}
 }
 
--- a/internal/fleet/stop.go
+++ b/internal/fleet/stop.go
@@ -118,8 +118,8 @@
 		}
 		s := j.Spec
 		var ran loop.Micros
-		if sl.Runs.Since[i] != 0 {
-			ran = now - sl.Runs.Since[i]
+		if since := sl.Runs.Since(i); since != 0 {
+			ran = now - since
 		}
 		y := victim{task: x, spec: s}
 		switch {
--- a/internal/health/runs.go
+++ b/internal/health/runs.go
@@ -9,30 +9,26 @@
 	"cleatpick/internal/wire"
 )
 
-// run is a task seen running.
+// run is what is known of a task that was seen running.
 type run struct {
-	attempt uint64
-	since   loop.Micros
-	late    bool // it has spoken against its machine
-	heard   bool // its run time was taken in
-	unsure  bool // it may have begun long before it was first seen
+	since  loop.Micros // 0: it does not run
+	late   bool        // it has spoken against its machine
+	unsure bool        // it may have begun long before it was first seen
 }
 
 // Runs are the tasks seen running on one machine, and what they tell of its speed.
 type Runs struct {
-	runs   map[string]run
+	runs   []run // of the newest view's tasks, in their order
 	tempo  tempo
 	images map[string]struct{} // images seen in use
 	judged loop.Micros         // when tasks that still run were last looked at
-	// Since is since when each task of the newest view was seen running; 0: it does not run.
-	Since []loop.Micros
 }
 
 // lookAgain is how often tasks that still run are looked at for running too long.
 const lookAgain = 5 * loop.Second
 
 // NewRuns makes an empty memory of a machine's runs.
-func NewRuns() *Runs { return &Runs{runs: map[string]run{}, images: map[string]struct{}{}} }
+func NewRuns() *Runs { return &Runs{images: map[string]struct{}{}} }
 
 // HasImage tells whether the image was seen in use on the machine.
 func (r *Runs) HasImage(image string) bool {
@@ -40,111 +36,105 @@
 	return ok
 }
 
-// Note follows a view: since when its tasks run, by which is judged what a stop would
-// lose, and which images they use. It tells how many CPUs fell free by tasks that
-// completed.
-func (r *Runs) Note(v *agent.View, c *agent.Changes, old []agent.Task, jobs []*job.Job, now loop.Micros, unsure bool) (freed float64) {
-	if c.Still && len(r.Since) == len(v.Tasks) {
-		return 0
+// Since is since when task i of the newest view was seen running; 0: it does not run.
+func (r *Runs) Since(i int) loop.Micros { return r.runs[i].since }
+
+// Paces are the paces of jobs, by id.
+type Paces map[string]*Pace
+
+// Told is what a view tells of its machine.
+type Told struct {
+	Freed  float64 // CPUs that fell free by tasks that completed
+	Slow   bool
+	Factor float64 // how many times longer tasks take there
+}
+
+// Follow takes in a view: since when its tasks run, by which is judged what a stop would
+// lose; which images they use; and by how long they have run, whether the machine is slow.
+// A task that runs for long beyond its job's usual time speaks against its machine before
+// it has completed. old are the tasks of the view before.
+func (r *Runs) Follow(v *agent.View, c *agent.Changes, old []agent.Task, jobs []*job.Job, paces Paces, now loop.Micros, unsure bool) (out Told) {
+	late := now-r.judged >= lookAgain
+	if late {
+		r.judged = now
+	}
+	same := c.Still && len(r.runs) == len(v.Tasks)
+	if same && !late {
+		return out
+	}
+	runs := r.runs
+	if !same {
+		runs = make([]run, len(v.Tasks))
 	}
-	since := make([]loop.Micros, len(v.Tasks))
 	for i := range v.Tasks {
-		t := &v.Tasks[i]
-		if c.Kept(i) && c.Was(i) < len(r.Since) {
-			since[i] = r.Since[c.Was(i)]
+		x, j := &v.Tasks[i], jobs[i]
+		if c.Kept(i) && c.Was(i) < len(r.runs) {
+			runs[i] = r.runs[c.Was(i)]
+			out.Slow = late && r.overdue(&runs[i], j, paces, now) || out.Slow
 			continue
 		}
-		if t.State == wire.TaskExited && t.Why == wire.WhyDone {
-			if o, ok := r.runs[t.Task]; ok && o.attempt == t.Attempt && jobs[i] != nil && jobs[i].Spec != nil {
-				freed += jobs[i].Spec.CPUs
-			}
-			continue
-		}
-		if t.State != wire.TaskRunning && t.State != wire.TaskSaving {
-			continue
-		}
-		if j := jobs[i]; j != nil && j.Spec != nil {
+		was := r.was(x, c, old)
+		if (x.State == wire.TaskRunning || x.State == wire.TaskSaving) && j != nil && j.Spec != nil {
 			r.images[j.Spec.Image] = struct{}{}
 		}
-		if t.State == wire.TaskRunning {
-			o, ok := r.runs[t.Task]
-			if !ok || o.attempt != t.Attempt {
-				o = run{attempt: t.Attempt, since: now, unsure: unsure}
-				r.runs[t.Task] = o
+		switch {
+		case x.State == wire.TaskRunning && was.since == 0:
+			runs[i] = run{since: now, unsure: unsure}
+		case x.State == wire.TaskRunning:
+			out.Slow = late && r.overdue(&was, j, paces, now) || out.Slow
+			runs[i] = was
+		case x.State == wire.TaskExited && x.Why == wire.WhyDone && was.since != 0 && j != nil:
+			if j.Spec != nil {
+				out.Freed += j.Spec.CPUs
 			}
-			since[i] = o.since
+			out.Slow = r.completed(&was, j, paces, now) || out.Slow
 		}
 	}
-	r.Since = since
-	r.forget(v, c, old)
-	return freed
+	r.runs = runs
+	if out.Slow {
+		out.Factor = math.Exp(r.tempo.mean)
+	}
+	return out
 }
 
-// forget drops the runs of tasks that do not run any more.
-func (r *Runs) forget(v *agent.View, c *agent.Changes, old []agent.Task) {
-	runs := func(task string, o run) bool {
-		x := v.Find(task, o.attempt)
-		return x != nil && x.State == wire.TaskRunning
-	}
-	if c.All {
-		for task, o := range r.runs {
-			if !runs(task, o) {
-				delete(r.runs, task)
-			}
-		}
-		return
-	}
-	for _, i := range c.Gone {
-		if o, ok := r.runs[old[i].Task]; ok && !runs(old[i].Task, o) {
-			delete(r.runs, old[i].Task)
+// was is what was known of a task that now stands otherwise.
+func (r *Runs) was(x *agent.Task, c *agent.Changes, old []agent.Task) run {
+	for _, g := range c.Gone {
+		if g < len(r.runs) && old[g].Attempt == x.Attempt && old[g].Task == x.Task {
+			return r.runs[g]
 		}
 	}
+	return run{}
 }
 
-// Paces are the paces of jobs, by id.
-type Paces map[string]*Pace
+// overdue judges the machine by a task that still runs.
+func (r *Runs) overdue(o *run, j *job.Job, paces Paces, now loop.Micros) bool {
+	if o.since == 0 || o.late || o.unsure || j == nil || j.Final() {
+		return false
+	}
+	pace := paces[j.ID]
+	if pace == nil || pace.n < paceTasks || float64(now-o.since) <= 2*math.Exp(pace.mean) {
+		return false
+	}
+	o.late = true
+	return r.tempo.hear(pace, now-o.since)
+}
 
-// Judge takes in how long the tasks of a view have run, and tells whether they show the
-// machine to be slow, and by what factor. A task that runs for long beyond its job's
-// usual time speaks against its machine before it has completed.
-func (r *Runs) Judge(v *agent.View, c *agent.Changes, jobs []*job.Job, paces Paces, now loop.Micros) (slow bool, factor float64) {
-	late := now-r.judged >= lookAgain
-	if late {
-		r.judged = now
+// completed judges the machine by a task that has ended well, and adds to its job's pace.
+func (r *Runs) completed(o *run, j *job.Job, paces Paces, now loop.Micros) (slow bool) {
+	if o.unsure || j.Final() {
+		return false
 	}
-	if c.Still && !late {
-		return false, 0
+	pace := paces[j.ID]
+	if !o.late {
+		slow = r.tempo.hear(pace, now-o.since)
 	}
-	for i := range v.Tasks {
-		x := &v.Tasks[i]
-		if c.Kept(i) && !(late && x.State == wire.TaskRunning) {
-			continue
-		}
-		o, known := r.runs[x.Task]
-		if !known || o.attempt != x.Attempt || o.heard || o.unsure || jobs[i] == nil || jobs[i].Final() {
-			continue
-		}
-		id := jobs[i].ID
-		switch pace := paces[id]; {
-		case x.State == wire.TaskExited && x.Why == wire.WhyDone:
-			if !o.late {
-				slow = r.tempo.hear(pace, now-o.since) || slow
-			}
-			if pace == nil {
-				pace = &Pace{}
-				paces[id] = pace
-			}
-			pace.add(now - o.since)
-			o.heard = true
-			r.runs[x.Task] = o
-		case x.State == wire.TaskRunning && !o.late && pace != nil && pace.n >= paceTasks &&
-			float64(now-o.since) > 2*math.Exp(pace.mean):
-			slow = r.tempo.hear(pace, now-o.since) || slow
-			o.late = true
-			r.runs[x.Task] = o
-		}
+	if pace == nil {
+		pace = &Pace{}
+		paces[j.ID] = pace
 	}
-	return slow, math.Exp(r.tempo.mean)
+	pace.add(now - o.since)
+	return slow
 }
 
 // Rest begins the judgement anew, by what the machine runs and will run.
--- /dev/null
+++ b/internal/health/runs_test.go
@@ -0,0 +1,182 @@
+package health
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"cleatpick/internal/agent"
+	"cleatpick/internal/fixed"
+	"cleatpick/internal/job"
+	"cleatpick/internal/loop"
+	"cleatpick/internal/wire"
+
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) { fixed.Main(m) }
+
+// seen is what the plain model keeps of a task, under the task's name and attempt.
+type seen struct {
+	since        loop.Micros
+	late, unsure bool
+}
+
+// plainRuns looks at every task of every view anew, and knows nothing of differences.
+type plainRuns struct {
+	runs   map[string]*seen
+	pace   map[string][]float64 // logarithms of the run times of a job's tasks
+	count  int
+	mean   float64
+	looked loop.Micros
+}
+
+func (p *plainRuns) speak(id string, ran loop.Micros) bool {
+	times := p.pace[id]
+	if len(times) < paceTasks {
+		return false
+	}
+	sum := 0.0
+	for _, x := range times {
+		sum += x
+	}
+	p.count++
+	w := max(paceWeight, 1/float64(p.count))
+	p.mean += w * (math.Log(float64(ran)) - sum/float64(len(times)) - p.mean)
+	return p.count >= paceCount && p.mean > math.Log(slowFactor)
+}
+
+func (p *plainRuns) view(v *agent.View, jobs []*job.Job, now loop.Micros, unsure bool) (freed float64, slow bool) {
+	look := now-p.looked >= lookAgain
+	if look {
+		p.looked = now
+	}
+	still := map[string]bool{}
+	for i := range v.Tasks {
+		x, j := &v.Tasks[i], jobs[i]
+		k := fmt.Sprint(x.Task, " ", x.Attempt)
+		o := p.runs[k]
+		switch {
+		case x.State == wire.TaskRunning:
+			still[k] = true
+			if o == nil {
+				p.runs[k] = &seen{since: now, unsure: unsure}
+			} else if times := p.pace[j.ID]; look && !o.late && !o.unsure && len(times) >= paceTasks {
+				sum := 0.0
+				for _, t := range times {
+					sum += t
+				}
+				if float64(now-o.since) > 2*math.Exp(sum/float64(len(times))) {
+					o.late = true
+					slow = p.speak(j.ID, now-o.since) || slow
+				}
+			}
+		case x.State == wire.TaskExited && x.Why == wire.WhyDone && o != nil:
+			freed += j.Spec.CPUs
+			if !o.unsure {
+				if !o.late {
+					slow = p.speak(j.ID, now-o.since) || slow
+				}
+				p.pace[j.ID] = append(p.pace[j.ID], math.Log(float64(now-o.since)))
+			}
+		}
+	}
+	for k := range p.runs {
+		if !still[k] {
+			delete(p.runs, k)
+		}
+	}
+	return freed, slow
+}
+
+// What a machine's tasks tell of it is followed by how its views differ; it must come to
+// what looking at every task of every view comes to.
+func TestRunsFollowViews(t *testing.T) {
+	spoke := 0
+	rapid.Check(t, func(t *rapid.T) {
+		specs := []*job.Job{{ID: "a", Phase: job.Accepted, Spec: &job.Spec{CPUs: 2, Image: "ia"}}, {ID: "b", Phase: job.Accepted, Spec: &job.Spec{CPUs: 3, Image: "ib"}}}
+		r, paces := NewRuns(), Paces{}
+		p := &plainRuns{runs: map[string]*seen{}, pace: map[string][]float64{}}
+		old := &agent.View{Session: 1}
+		now, next := 10*loop.Second, 0
+		images := map[string]bool{}
+		pauses := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "pauses"), 0))
+		n := rapid.IntRange(5, 120).Draw(t, "views")
+		for k := range n {
+			now += 100_000 + loop.Micros(pauses.Int64N(3_900_000)) // drawn evenly: equal times would make limits a matter of rounding
+			if k > n/2 {
+				now += 8 * loop.Second // from here on it is slow
+			}
+			v := *old
+			v.Tasks = slices.Clone(old.Tasks)
+			if rapid.IntRange(0, 30).Draw(t, "restarts") == 0 {
+				v.Session, v.Tasks = v.Session+1, nil
+			}
+			for range rapid.IntRange(0, 4).Draw(t, "changes") {
+				if n := len(v.Tasks); n > 0 && rapid.IntRange(0, 2).Draw(t, "change") > 0 {
+					i := rapid.IntRange(0, n-1).Draw(t, "task")
+					switch x := &v.Tasks[i]; x.State {
+					case wire.TaskFetching:
+						x.State = wire.TaskRunning
+					case wire.TaskRunning:
+						if rapid.IntRange(0, 4).Draw(t, "saves") == 0 {
+							x.Saved = !x.Saved // it stands otherwise, and still runs
+							break
+						}
+						x.State, x.Why = wire.TaskExited, wire.WhyDone
+						if rapid.IntRange(0, 5).Draw(t, "fails") == 0 {
+							x.Why = wire.WhyError
+						}
+					default:
+						v.Tasks = slices.Delete(v.Tasks, i, i+1)
+					}
+					continue
+				}
+				next++
+				v.Tasks = append(v.Tasks, agent.Task{Task: fmt.Sprintf("%c/%d", 'a'+next%2, next), Attempt: 1, State: wire.TaskFetching})
+			}
+			jobs := make([]*job.Job, len(v.Tasks))
+			for i := range v.Tasks {
+				jobs[i] = specs[int(v.Tasks[i].Task[0]-'a')]
+				if v.Tasks[i].State == wire.TaskRunning {
+					images[jobs[i].Spec.Image] = true
+				}
+			}
+			unsure := rapid.IntRange(0, 15).Draw(t, "unsure") == 0
+			c := v.Since(old)
+			got := r.Follow(&v, &c, old.Tasks, jobs, paces, now, unsure)
+			freed, slow := p.view(&v, jobs, now, unsure)
+			if r.tempo.n != p.count || math.Abs(r.tempo.mean-p.mean) > 1e-9 {
+				t.Fatalf("%d tasks spoke, by %v; the plain model says %d, %v", r.tempo.n, r.tempo.mean, p.count, p.mean)
+			}
+			if got.Freed != freed || got.Slow != slow {
+				t.Fatalf("freed %v slow %v, the plain model says %v %v", got.Freed, got.Slow, freed, slow)
+			}
+			for i := range v.Tasks {
+				want := loop.Micros(0)
+				if o := p.runs[fmt.Sprint(v.Tasks[i].Task, " ", v.Tasks[i].Attempt)]; o != nil {
+					want = o.since
+				}
+				if r.Since(i) != want {
+					t.Fatalf("task %v runs since %d, the plain model says %d", v.Tasks[i], r.Since(i), want)
+				}
+			}
+			for _, j := range specs {
+				if r.HasImage(j.Spec.Image) != images[j.Spec.Image] {
+					t.Fatalf("image %s: %v", j.Spec.Image, r.HasImage(j.Spec.Image))
+				}
+			}
+			if slow {
+				spoke++
+				r.Rest()
+				p.count, p.mean = 0, 0
+			}
+			old = &v
+		}
+	})
+	if spoke == 0 {
+		t.Error("no machine was ever found slow: the test shows nothing of that")
+	}
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -131,9 +131,11 @@
 const (
 	maxFrame = 1 << 20
 	maxQueue = 64
-	// gather is for how long additions to a frame are gathered: each frame wakes a process,
-	// and with fifteen nodes there are 210 ways for one.
-	gather = 10 * loop.Millisecond
+	// gatherEach, for each peer, is for how long additions to a frame are gathered: each
+	// frame wakes a process, and with fifteen nodes there are 210 ways for one. A node sends
+	// and gets no more frames a second than 200, however many there are, down to gatherMost.
+	gatherEach = 5 * loop.Millisecond
+	gatherMost = 40 * loop.Millisecond
 )
 
 // link is the outgoing side towards one peer.
@@ -319,7 +321,7 @@
 		return
 	}
 	l.waiting = true
-	n.r.After(gather, func() { n.flush(l) })
+	n.r.After(min(loop.Micros(len(n.links))*gatherEach, gatherMost), func() { n.flush(l) })
 }
 
 func (n *Net) flush(l *link) {
--- a/internal/placer/explain.go
+++ b/internal/placer/explain.go
@@ -285,7 +285,7 @@
 		if sl == nil || !slices.Contains(p.cordons.Barring(fleet.Where(sl.V)), name) {
 			continue
 		}
-		for r := range on {
+		for r := range on.all {
 			if r.t.task(r.i).since == 0 {
 				n++
 			}
--- a/internal/placer/facts.go
+++ b/internal/placer/facts.go
@@ -115,15 +115,15 @@
 // unshown calls f for every task that was chosen for or started on the machine and that
 // its view does not show yet.
 func (p *Placer) unshown(v *agent.View, f func(*job.Spec)) {
-	for r := range p.on[v.Name] {
+	p.unsettled(v.Name, func(r ref) {
 		x := r.t.task(r.i)
 		if x.seen {
-			continue // it is listed, or was and is not any more
+			return // it is listed, or was and is not any more
 		}
 		n := r.t.name(r.i)
 		if x.session < v.Session || v.Holds(n, x.attempt) || v.Find(n, x.attempt) != nil {
-			continue
+			return
 		}
 		f(r.t.j.Spec)
-	}
+	})
 }
--- a/internal/placer/place_test.go
+++ b/internal/placer/place_test.go
@@ -207,6 +207,45 @@
 	return out
 }
 
+// plainAboard gathers anew what is in use on each machine, and what of it is open, and
+// tells what the placer's own lists hold otherwise.
+func (g *rig) plainAboard() string {
+	all, open := map[string]int{}, map[string]int{}
+	for _, tm := range g.p.teams {
+		for _, tb := range tm.jobs {
+			for i := range tb.j.Tasks {
+				x := tb.task(i)
+				r := ref{tb, i}
+				if !x.inUse() {
+					continue
+				}
+				all[x.machine]++
+				on := g.p.on[x.machine]
+				if on == nil {
+					return tb.name(i) + " is in use, and its machine holds nothing"
+				}
+				_, here := on.all[r]
+				_, isOpen := on.open[r]
+				if !here || isOpen != (!x.seen || x.pending) {
+					return fmt.Sprintf("%s on %s: listed %v, open %v; seen %v, pending %v", tb.name(i), x.machine, here, isOpen, x.seen, x.pending)
+				}
+				if v := g.a.View(x.machine); x.state == Placed && !x.seen && v != nil && v.Find(tb.name(i), x.attempt) != nil {
+					return tb.name(i) + " was shown by its machine, and is not seen"
+				}
+				if isOpen {
+					open[x.machine]++
+				}
+			}
+		}
+	}
+	for m, on := range g.p.on {
+		if len(on.all) != all[m] || len(on.open) != open[m] {
+			return fmt.Sprintf("%s lists %d tasks and %d open, and has %d and %d", m, len(on.all), len(on.open), all[m], open[m])
+		}
+	}
+	return ""
+}
+
 // The slots are kept up to date by what happens to each machine, and a pass ranks them
 // once for each job. Both must come to what looking at everything anew comes to.
 func TestPassesMatchThePlainModel(t *testing.T) {
@@ -279,6 +318,9 @@
 			if !maps.Equal(got, want) {
 				t.Fatalf("placed %v, want %v", got, want)
 			}
+			if why := g.plainAboard(); why != "" {
+				t.Fatal(why)
+			}
 			g.p.fleet.Refresh()
 			for _, sl := range g.p.fleet.All() {
 				name := sl.V.Name
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -3,7 +3,6 @@
 import (
 	"log/slog"
 	"math/rand/v2"
-	"sort"
 
 	"cleatpick/internal/agent"
 	"cleatpick/internal/config"
@@ -55,7 +54,7 @@
 	cordons  *cordon.Book
 	agent    *agent.Agent
 	teams    map[string]*team
-	on       map[string]map[ref]struct{} // tasks in use by machine
+	on       map[string]*aboard // tasks in use by machine
 	failures *health.Failures
 	fleet    *fleet.Fleet
 	placing  bool
@@ -71,11 +70,12 @@
 	paces    health.Paces
 	checked  map[string]loop.Micros
 	reruns   reruns
+	sweepAt  loop.Micros // when all tasks in use are gone through next
 }
 
 // New makes the placer.
 func New(r loop.Runner, c *store.Client, log *slog.Logger, cfg *config.Config, n Node, book *job.Book, a *agent.Agent, cordons *cordon.Book) *Placer {
-	p := &Placer{r: r, cordons: cordons, c: c, log: log, cfg: cfg, n: n, book: book, agent: a, teams: map[string]*team{}, on: map[string]map[ref]struct{}{},
+	p := &Placer{r: r, cordons: cordons, c: c, log: log, cfg: cfg, n: n, book: book, agent: a, teams: map[string]*team{}, on: map[string]*aboard{},
 		failures: health.NewFailures(), zoneMemo: map[string]string{}, nonce: rand.Uint64() >> 1, usage: map[string]peer.Usage{},
 
 		checked: map[string]loop.Micros{}, paces: health.Paces{}}
@@ -116,26 +116,21 @@
 	t.each(func(i int, x *task) {
 		p.again(x, false)
 		if x.inUse() {
-			delete(p.on[x.machine], ref{t, i})
-			if len(p.on[x.machine]) == 0 {
-				delete(p.on, x.machine)
-			}
+			p.leave(ref{t, i})
 		}
 		if x.seg != nil {
 			x.seg.live--
 			x.seg = nil
 		}
 	})
-	delete(t.team.jobs, t.j.ID)
-	t.team.order = nil
+	t.team.drop(t)
 }
 
 func (p *Placer) tableOf(tm *team, j *job.Job) *table {
 	t := tm.jobs[j.ID]
 	if t == nil {
 		t = &table{j: j, team: tm, blocks: make([]*[blockSize]task, (j.Tasks+blockSize-1)/blockSize), zones: map[string]int{}, failedOn: map[string]bool{}}
-		tm.jobs[j.ID] = t
-		tm.order = nil
+		tm.enter(t)
 	}
 	return t
 }
@@ -308,93 +303,6 @@
 	}
 }
 
-// tick repeats what may have been lost and tells others what they need.
-func (p *Placer) tick() {
-	now, wall := p.r.Now(), p.r.Wall()
-	p.turn.Tick(now)
-	for m, on := range p.on {
-		v := p.agent.View(m)
-		gone := p.agent.IsGone(m)
-		for r := range on {
-			x := r.t.task(r.i)
-			if x.state != Placed {
-				continue
-			}
-			if gone {
-				p.off(r.t, r.i, "machine gone")
-				continue
-			}
-			if v == nil {
-				continue
-			}
-			if r.t.j.Final() {
-				p.stop(r.t, r.i, 0)
-			} else if x.ours && !x.seen && wall < x.expiry && now-x.sentAt > 800*loop.Millisecond &&
-				!v.Holds(r.t.name(r.i), x.attempt) && v.Find(r.t.name(r.i), x.attempt) == nil {
-				p.sendStart(r.t, r.i)
-			}
-		}
-	}
-	p.evict(now, wall)
-	var tell []peer.Progress
-	var use []peer.Usage
-	for _, tm := range p.teams {
-		if !tm.loaded {
-			continue
-		}
-		p.settle(tm)
-		use = append(use, peer.Usage{Team: tm.cfg.Name, CPUs: tm.cpus, GPUs: tm.gpus})
-		for _, t := range tm.jobs {
-			d, run := int64(t.completed), int64(t.running)
-			news := d != t.toldDone || run != t.toldRun
-			if p.n.Tells && !t.j.Final() && p.newCauses(t, now-p.staleAfter(), wall) {
-				news = true
-			}
-			if news {
-				t.toldDone, t.toldRun = d, run
-				news := peer.Progress{Job: t.j.ID, Done: d, Running: run}
-				if p.n.Tells {
-					news.Causes, news.Waits, news.At = t.causes, true, wall
-				}
-				tell = append(tell, news)
-			}
-		}
-	}
-	if len(tell) > 0 {
-		p.n.Tell(tell)
-	}
-	if len(use) > 0 {
-		p.n.Usage(use)
-	}
-	p.Kick()
-	p.sendTally()
-}
-
-// evict lets tasks save before a spot machine is taken, or one that is not needed is given back.
-func (p *Placer) evict(now, wall loop.Micros) {
-	p.agent.Views(func(v *agent.View) {
-		if v.NoticeAt == 0 && !v.Closed {
-			return
-		}
-		for r := range p.on[v.Name] {
-			s := r.t.j.Spec
-			x := r.t.task(r.i)
-			if v.NoticeAt == 0 {
-				// The machine is not needed: what can save itself moves, unless
-				// its start would then have been of no use, or it ends soon anyway.
-				ran := now - x.since
-				if s.Checkpoint > 0 && x.running && ran > 30*loop.Second && s.Estimate-ran > 20*loop.Second {
-					p.stop(r.t, r.i, s.Save+loop.Second)
-				}
-				continue
-			}
-			if s.Checkpoint > 0 && x.seen && v.NoticeAt-wall < s.Save+3*loop.Second {
-				p.stop(r.t, r.i, s.Save+loop.Second)
-			}
-		}
-	})
-}
-
 // Counts are a job's counts when its team is owned here.
 func (p *Placer) Counts(j *job.Job) (job.Counts, bool) {
 	if j.Spec == nil {
@@ -428,7 +336,7 @@
 
 // passEvery is the least time between two passes. In a large fleet something falls free
 // all the time, and a pass for each of it would look through the same queue every time.
-const passEvery = 40 * loop.Millisecond
+const passEvery = 80 * loop.Millisecond
 
 // Kick asks for a placement pass soon; many causes share one, the more the longer a
 // pass takes, so that passes leave most of the node's time to everything else.
@@ -437,20 +345,8 @@
 		return
 	}
 	p.placing = true
-	p.r.After(min(passEvery+6*p.took, 400*loop.Millisecond), func() {
+	p.r.After(min(passEvery+10*p.took, 400*loop.Millisecond), func() {
 		p.placing = false
 		p.place()
 	})
 }
-
-func (p *Placer) sendTally() {
-	t := peer.Tally{Wall: p.r.Wall(), Wants: p.lastWant}
-	now := p.r.Now()
-	for m := range p.on {
-		if sl := p.fleet.Slot(m); sl == nil || now-sl.Heard > p.staleAfter() {
-			t.Suspect = append(t.Suspect, m)
-		}
-	}
-	sort.Strings(t.Suspect)
-	p.n.Tally(t)
-}
--- a/internal/placer/proof.go
+++ b/internal/placer/proof.go
@@ -38,12 +38,13 @@
 		sl.Rest(p.failures.Until(v.Name), "tasks fail on it")
 	}
 	sl.Jobs = p.agent.Jobs(v)
-	if slow, factor := sl.Runs.Judge(v, c, sl.Jobs, p.paces, now); slow && now >= sl.Shut {
-		p.log.Debug("slow machine rests", "machine", v.Name, "times", factor)
+	told := sl.Runs.Follow(v, c, before, sl.Jobs, p.paces, now, unsure)
+	p.turn.Free(told.Freed)
+	if told.Slow && now >= sl.Shut {
+		p.log.Debug("slow machine rests", "machine", v.Name, "times", told.Factor)
 		sl.Rest(now+health.SlowRest, "its tasks run slowly")
 		sl.Runs.Rest()
 	}
-	p.turn.Free(sl.Runs.Note(v, c, before, sl.Jobs, now, unsure))
 	p.judgeAll(v, c, sl.Jobs, heard)
 	if v.Host != "" {
 		p.forgets(v, sl.Jobs)
@@ -56,14 +57,11 @@
 // judgeAll draws what a view proves about the tasks in use on its machine. One that was
 // seen there and stands as before proves nothing new.
 func (p *Placer) judgeAll(v *agent.View, c *agent.Changes, jobs []*job.Job, heard loop.Micros) {
-	on := p.on[v.Name]
-	if len(on) == 0 {
+	if p.on[v.Name] == nil {
 		return
 	}
 	if c.All {
-		for r := range on {
-			p.judge(r.t, r.i, v, heard)
-		}
+		p.aboard(v.Name, func(r ref) { p.judge(r.t, r.i, v, heard) })
 		return
 	}
 	for k := range v.Tasks {
@@ -71,14 +69,7 @@
 			p.judgeNamed(v, v.Tasks[k].Task, jobs[k], heard)
 		}
 	}
-	for r := range on {
-		// Not seen yet, or not listed any more: that the view lacks it may prove it off. Or
-		// refused beside another attempt, whose end it waits for: judged only when its own
-		// entry changed, such a task once waited for ever.
-		if x := r.t.task(r.i); !x.seen || x.pending {
-			p.judge(r.t, r.i, v, heard)
-		}
-	}
+	p.unsettled(v.Name, func(r ref) { p.judge(r.t, r.i, v, heard) })
 }
 
 // judgeNamed judges a task that has changed on the machine, if it is in use there.
@@ -92,7 +83,7 @@
 	}
 	if t := tm.jobs[j.ID]; t != nil {
 		if _, i, ok := agent.SplitTask(name); ok && i < j.Tasks {
-			if _, here := p.on[v.Name][ref{t, i}]; here {
+			if x := t.task(i); x.inUse() && x.machine == v.Name {
 				p.judge(t, i, v, heard)
 			}
 		}
@@ -116,7 +107,7 @@
 		return
 	}
 	e := v.Find(name, x.attempt)
-	x.pending = x.seen && e == nil
+	p.sight(t, i, x.seen, x.seen && e == nil)
 	if e == nil {
 		if v.Holds(name, x.attempt) {
 			return
@@ -136,7 +127,7 @@
 		}
 		return
 	}
-	x.seen = true
+	p.sight(t, i, true, x.pending)
 	if e.Active() {
 		run := e.State == wire.TaskRunning
 		if run != x.running {
@@ -175,7 +166,7 @@
 		for k := range v.Tasks {
 			if o := &v.Tasks[k]; o.Task == name && o.Active() {
 				p.n.Stop(v.Host, agent.Stop{Machine: v.Name, Task: name, Attempt: o.Attempt})
-				x.pending = true // the stop may be lost, and what ends is the other attempt
+				p.sight(t, i, true, true) // the stop may be lost, and what ends is the other attempt
 				return
 			}
 		}
@@ -242,14 +233,14 @@
 
 // Gone takes in that a machine was deleted, and with it all that was on it.
 func (p *Placer) Gone(machine string) {
-	for r := range p.on[machine] {
+	p.aboard(machine, func(r ref) {
 		if r.t.task(r.i).state == Placed {
 			if sl := p.fleet.Slot(machine); sl != nil {
 				p.fell(r.t, r.i, sl.Heard)
 			}
 			p.off(r.t, r.i, "machine gone")
 		}
-	}
+	})
 	p.fleet.Gone(machine)
 	delete(p.checked, machine)
 	p.failures.Gone(machine)
--- a/internal/placer/table.go
+++ b/internal/placer/table.go
@@ -98,13 +98,32 @@
 // more often than jobs come and go.
 func (tm *team) inOrder() []*table {
 	if tm.order == nil {
-		tm.order = slices.SortedFunc(maps.Values(tm.jobs), func(a, b *table) int {
-			return cmp.Or(cmp.Compare(a.j.At, b.j.At), cmp.Compare(a.j.ID, b.j.ID))
-		})
+		tm.order = slices.SortedFunc(maps.Values(tm.jobs), accepted)
 	}
 	return tm.order
 }
 
+func accepted(a, b *table) int {
+	return cmp.Or(cmp.Compare(a.j.At, b.j.At), cmp.Compare(a.j.ID, b.j.ID))
+}
+
+// enter and drop keep the order: to sort all jobs anew whenever one came or went cost a
+// fiftieth of a large node's time. The list is copied, since it may be gone through.
+func (tm *team) enter(t *table) {
+	tm.jobs[t.j.ID] = t
+	if tm.order != nil {
+		i, _ := slices.BinarySearchFunc(tm.order, t, accepted)
+		tm.order = slices.Concat(tm.order[:i], []*table{t}, tm.order[i:])
+	}
+}
+
+func (tm *team) drop(t *table) {
+	delete(tm.jobs, t.j.ID)
+	if i, ok := slices.BinarySearchFunc(tm.order, t, accepted); ok {
+		tm.order = slices.Concat(tm.order[:i], tm.order[i+1:])
+	}
+}
+
 type ref struct {
 	t *table
 	i int
@@ -169,17 +188,9 @@
 		p.fleet.Touch(p.fleet.Slot(x.machine))
 		r := ref{t, i}
 		if in {
-			on := p.on[x.machine]
-			if on == nil {
-				on = map[ref]struct{}{}
-				p.on[x.machine] = on
-			}
-			on[r] = struct{}{}
+			p.board(r)
 		} else {
-			delete(p.on[x.machine], r)
-			if len(p.on[x.machine]) == 0 {
-				delete(p.on, x.machine)
-			}
+			p.leave(r)
 		}
 	}
 	if x.running && s != Placed {
--- a/internal/placer/why_test.go
+++ b/internal/placer/why_test.go
@@ -408,6 +408,9 @@
 				waits = append(waits, id)
 			}
 		}
+		if why := g.plainAboard(); why != "" {
+			t.Fatalf("world %d: %s", seed, why)
+		}
 		for _, id := range waits {
 			reasons, sure := g.judge(id)
 			want := plain{g}.reasons(id)
--- a/internal/rental/order.go
+++ b/internal/rental/order.go
@@ -92,6 +92,10 @@
 	return took
 }
 
+// planEvery is how long after misses that all machines on their way will serve they are
+// looked at again: owners tell theirs every 400 ms.
+const planEvery = 150 * loop.Millisecond
+
 // recordOrders turns misses that no machine on its way will serve into recorded orders.
 func (t *Rental) recordOrders() {
 	if !t.listed || len(t.types) == 0 {
@@ -105,7 +109,7 @@
 			return
 		}
 	}
-	if !t.mayCall(now) {
+	if !t.mayCall(now) || now < t.planAt {
 		return
 	}
 	supply := t.expected()
@@ -143,6 +147,8 @@
 	if len(keys) > 0 {
 		most := slices.MaxFunc(keys, func(a, b offer) int { return need[a] - need[b] })
 		t.newOrder(most, min(need[most], 50))
+	} else {
+		t.planAt = now + planEvery
 	}
 }
 
--- a/internal/rental/rental.go
+++ b/internal/rental/rental.go
@@ -119,6 +119,7 @@
 	listed   bool // a list was read in this leadership
 	spareAt  loop.Micros
 	judged   loop.Micros
+	planAt   loop.Micros // misses are not looked at before
 	losses   *loss.Judge
 	deleting map[string]*machine // those of machines that wait for their deletion
 	streak   int                 // calls for orders since idle machines were given back
