--- a/internal/loss/loss.go
+++ b/internal/loss/loss.go
@@ -68,6 +68,9 @@
 	Name, Zone, Addr string
 	Heard            loop.Micros
 	Failed           bool // the cloud lists it as failed
+	// Worth is for how much longer it is better left alone, since its zone is cut off or
+	// was until now: what it takes to have another in its place.
+	Worth loop.Micros
 }
 
 // Scene is what is known of all.
@@ -239,6 +242,7 @@
 	if z.heard == 0 || z.unheard || m.word == NoWay {
 		over += j.r.Out
 	}
+	over += m.Worth
 	if silence > over && last {
 		return "silent beyond its lease"
 	}
--- a/internal/rental/machine.go
+++ b/internal/rental/machine.go
@@ -55,6 +55,12 @@
 		m = &machine{name: name, typ: typ, zone: zone, spot: spot, since: now, firstSaw: now}
 		t.machines[name] = m
 	}
+	if m.typ == "" {
+		// An owner that misses it named it first, and knows nothing else of it. A new leader
+		// once took 408 machines behind a cut for machines of no zone, and had them deleted
+		// two seconds before the cut was over.
+		m.typ, m.zone, m.spot = typ, zone, spot
+	}
 	return m
 }
 
@@ -134,11 +140,12 @@
 	now := t.r.Now()
 	suspects := t.suspects(now)
 	t.spare(now)
-	t.judgeSilent(now)
+	worth := t.worth()
+	t.judgeSilent(now, worth)
 	for _, m := range t.machines {
 		switch m.state {
 		case Booting:
-			t.judgeBoot(m, now, suspects[m.name])
+			t.judgeBoot(m, now, suspects[m.name], worth)
 		case Up:
 			switch v := t.agent.View(m.name); {
 			case t.n.Faulty(m.name):
@@ -169,7 +176,7 @@
 }
 
 // judgeSilent has all machines that were heard before judged at once.
-func (t *Rental) judgeSilent(now loop.Micros) {
+func (t *Rental) judgeSilent(now loop.Micros, worth func(*machine) loop.Micros) {
 	t.losses.Answers(func(name string) {
 		if m := t.machines[name]; m != nil {
 			m.heard = now
@@ -181,7 +188,7 @@
 			if m.state != Up && m.state != Draining && m.state != Closing {
 				continue
 			}
-			f := loss.Facts{Name: m.name, Zone: m.zone, Heard: m.heard, Failed: m.listed == "failed"}
+			f := loss.Facts{Name: m.name, Zone: m.zone, Heard: m.heard, Failed: m.listed == "failed", Worth: worth(m)}
 			if v := t.agent.View(m.name); v != nil {
 				f.Addr = v.Addr
 			}
@@ -192,7 +199,7 @@
 	}
 }
 
-func (t *Rental) judgeBoot(m *machine, now loop.Micros, suspect bool) {
+func (t *Rental) judgeBoot(m *machine, now loop.Micros, suspect bool, worth func(*machine) loop.Micros) {
 	report, lease := loop.Seconds(t.cfg.Cluster.Workers.ReportS), loop.Seconds(t.cfg.Cluster.Workers.LeaseS)
 	typ, known := t.byName[m.typ]
 	boot := loop.Seconds(typ.BootS)
@@ -214,7 +221,7 @@
 		// during a cut deleted half a fleet two seconds before the cut was over.
 		limit := max(lease, 2*report+8*loop.Second) + 3*loop.Second
 		if t.n.Unheard(m.zone) {
-			limit += outOfSight
+			limit += outOfSight + worth(m)
 		}
 		if now-m.firstSaw > limit {
 			t.lose(m, "not heard")
--- a/internal/rental/rental.go
+++ b/internal/rental/rental.go
@@ -119,7 +119,8 @@
 	listed   bool // a list was read in this leadership
 	spareAt  loop.Micros
 	judged   loop.Micros
-	planAt   loop.Micros // misses are not looked at before
+	darkAt   map[string]loop.Micros // when a zone was last out of sight
+	planAt   loop.Micros            // misses are not looked at before
 	losses   *loss.Judge
 	deleting map[string]*machine // those of machines that wait for their deletion
 	streak   int                 // calls for orders since idle machines were given back
@@ -132,7 +133,7 @@
 // New makes the rental slice.
 func New(r loop.Runner, log *slog.Logger, cfg *config.Config, c *store.Client, m *store.Mirror, cloud store.Doer, a *agent.Agent, n Node) *Rental {
 	t := &Rental{r: r, log: log, cfg: cfg, c: c, m: m, cloud: cloud, agent: a, n: n, byName: map[string]wire.MachineType{},
-		tallies: map[string]peer.Tally{}, tallyAt: map[string]loop.Micros{}, deleted: map[string][]string{}, boots: explain.NewDist()}
+		tallies: map[string]peer.Tally{}, darkAt: map[string]loop.Micros{}, tallyAt: map[string]loop.Micros{}, deleted: map[string][]string{}, boots: explain.NewDist()}
 	w := cfg.Cluster.Workers
 	t.losses = loss.New(loss.Rules{Report: loop.Seconds(w.ReportS), Lease: loop.Seconds(w.LeaseS), Out: outOfSight,
 		Most: loop.Seconds(cfg.Operator.SilentDeleteS), Probes: max(min(64, cfg.Cluster.Limits.MaxSockets/20), 4)}, log, n.Meter, t.probe)
--- a/internal/rental/rental_test.go
+++ b/internal/rental/rental_test.go
@@ -28,7 +28,8 @@
 	calls    []string
 	entitled bool
 	isolated bool
-	unheard  bool // a peer in the machines' zone
+	unheard  bool   // a peer in the machines' zone
+	dark     string // a zone that is cut off
 	word     loss.Word
 	words    map[string]loss.Word // by address, where it differs
 	ups      []wire.Listed
@@ -56,7 +57,7 @@
 	g.cloud.Gone = func(name string) { g.deleted = append(g.deleted, name) }
 	g.a = agent.New(g, log, agent.Host{Label: "a", Changed: func(v *agent.View, _ *agent.Changes) { g.t.View(v) }}, nil)
 	g.t = New(g, log, cfg, c, m, g, g.a, Node{Close: func(string, peer.Close) {},
-		Unheard: func(string) bool { return g.unheard }, Entitled: func() bool { return g.entitled }, Isolated: func() bool { return g.isolated },
+		Unheard: func(z string) bool { return g.unheard || z == g.dark }, Entitled: func() bool { return g.entitled }, Isolated: func() bool { return g.isolated },
 		Faulty: func(string) bool { return false }, Probe: func(addr string) loss.Word { return cmp.Or(g.words[addr], g.word) }})
 	m.Start()
 	g.Run(loop.Second)
