--- a/internal/node/cost_test.go
+++ b/internal/node/cost_test.go
@@ -88,3 +88,46 @@
 		})
 	}
 }
+
+// BenchmarkFirstPlacement kills all nodes of a fleet under load, starts them at once, and
+// tells how long it takes until a task starts again, and what that costs.
+//
+//	go test -run - -bench FirstPlacement -benchtime 1x ./internal/node
+func BenchmarkFirstPlacement(b *testing.B) {
+	for _, machines := range []int{1000, 5000} {
+		b.Run(fmt.Sprint("machines=", machines), func(b *testing.B) {
+			for range b.N {
+				w := crowd(b, 3, machines)
+				now := 3660 * loop.Second
+				w.run(now)
+				for _, l := range w.labels {
+					w.nodes[l].alive = false
+				}
+				now += 32 * loop.Second // every lease is over: what begins now was sent by the new nodes
+				w.run(now)
+				for _, l := range w.labels {
+					w.startNode(l)
+				}
+				began, from, starts := now, w.cost, w.starts
+				first := loop.Micros(0)
+				w.onBegan = func(*simWorker, string) {
+					if first == 0 {
+						first = w.now
+					}
+				}
+				for first == 0 && now < began+60*loop.Second {
+					now += 10 * loop.Millisecond
+					w.run(now)
+				}
+				b.ReportMetric(float64(first-began)/1e6, "s-to-first")
+				b.ReportMetric((w.cost.own - from.own).Seconds(), "own-s-to-first")
+				for w.starts < starts+machines/4 && now < began+120*loop.Second {
+					now += 50 * loop.Millisecond
+					w.run(now)
+				}
+				b.ReportMetric(float64(now-began)/1e6, "s-to-quarter")
+				b.ReportMetric(float64(len(w.present())), "machines")
+			}
+		})
+	}
+}
