--- a/internal/rental/rental_test.go
+++ b/internal/rental/rental_test.go
@@ -11,6 +11,7 @@
 
 	"cleatpick/internal/agent"
 	"cleatpick/internal/config"
+	"cleatpick/internal/job"
 	"cleatpick/internal/loop"
 	"cleatpick/internal/loss"
 	"cleatpick/internal/member"
@@ -30,6 +31,8 @@
 	isolated bool
 	unheard  bool   // a peer in the machines' zone
 	dark     string // a zone that is cut off
+	jobs     map[string]*job.Job
+	runs     []agent.Task // on every machine that is heard
 	word     loss.Word
 	words    map[string]loss.Word // by address, where it differs
 	ups      []wire.Listed
@@ -55,7 +58,7 @@
 	g.cloud = standin.NewCloud(wire.MachineType{Name: "m8", CPUs: 8, MemoryGB: 32, Price: 1, SpotPrice: 0.3, BootS: 4, Zones: []string{"x", "y"}}, each)
 	g.cloud.Up = func(l wire.Listed) { g.ups = append(g.ups, l) }
 	g.cloud.Gone = func(name string) { g.deleted = append(g.deleted, name) }
-	g.a = agent.New(g, log, agent.Host{Label: "a", Changed: func(v *agent.View, _ *agent.Changes) { g.t.View(v) }}, nil)
+	g.a = agent.New(g, log, agent.Host{Label: "a", Job: func(id string) *job.Job { return g.jobs[id] }, Changed: func(v *agent.View, _ *agent.Changes) { g.t.View(v) }}, nil)
 	g.t = New(g, log, cfg, c, m, g, g.a, Node{Close: func(string, peer.Close) {},
 		Unheard: func(z string) bool { return g.unheard || z == g.dark }, Entitled: func() bool { return g.entitled }, Isolated: func() bool { return g.isolated },
 		Faulty: func(string) bool { return false }, Probe: func(addr string) loss.Word { return cmp.Or(g.words[addr], g.word) }})
@@ -70,7 +73,7 @@
 }
 
 func (g *rig) hear(name, zone string) {
-	g.a.Learn(&agent.View{Name: name, Addr: name, Type: "m8", Zone: zone, Host: "b", Session: 1, Seq: uint64(g.Now()), At: g.Now()})
+	g.a.Learn(&agent.View{Name: name, Addr: name, Type: "m8", Zone: zone, Host: "b", Session: 1, Seq: uint64(g.Now()), At: g.Now(), Tasks: g.runs})
 }
 
 func count(calls []string, part string) (n int) {
--- a/internal/rental/worth.go
+++ b/internal/rental/worth.go
@@ -41,13 +41,29 @@
 			// In sight again, it has two reports' time to show what lives there: 57 machines
 			// were once deleted in the moment in which their cut was over.
 			return hour
-		case was && full:
+		case was && full && !t.holdsUrgent(m):
 			return loop.Seconds(t.byName[m.typ].BootS)
 		}
 		return 0
 	}
 }
 
+// holdsUrgent tells whether urgent work ran on a machine when it was last heard. What is
+// urgent need not queue: once it is proven off, other work gives way to it.
+func (t *Rental) holdsUrgent(m *machine) bool {
+	v := t.agent.View(m.name)
+	if v == nil {
+		return false
+	}
+	jobs := t.agent.Jobs(v)
+	for i := range v.Tasks {
+		if j := jobs[i]; v.Tasks[i].Active() && j != nil && !j.Final() && j.Spec != nil && j.Spec.Priority >= job.High {
+			return true
+		}
+	}
+	return false
+}
+
 // elsewhere tells whether anything can be rented in a zone that is in sight, by the
 // cloud's last word: what it refused stays refused until it was granted once.
 func (t *Rental) elsewhere(dark map[string]bool) bool {
--- a/internal/rental/worth_test.go
+++ b/internal/rental/worth_test.go
@@ -4,8 +4,11 @@
 	"slices"
 	"testing"
 
+	"cleatpick/internal/agent"
+	"cleatpick/internal/job"
 	"cleatpick/internal/loop"
 	"cleatpick/internal/peer"
+	"cleatpick/internal/wire"
 )
 
 // A leader once deleted 408 machines of a zone two seconds before its cut was over, while
@@ -18,22 +21,26 @@
 		name  string
 		each  int // machines that each offer has
 		wants []peer.Want
-		cut   bool // the zone is, by a peer that is not heard there
-		new   bool // the leader began after the cut, and never heard these machines
+		cut   bool         // the zone is, by a peer that is not heard there
+		new   bool         // the leader began after the cut, and never heard these machines
+		runs  job.Priority // of what runs there
 		more  loop.Micros
 	}{
-		{"full, work waits", 6, []peer.Want{{CPUs: 2, AnyType: true, Spot: true, Count: 8}}, true, false, boot},
-		{"full, work waits, a new leader", 6, []peer.Want{{CPUs: 2, AnyType: true, Spot: true, Count: 8}}, true, true, boot},
-		{"full, little waits", 6, []peer.Want{{CPUs: 2, AnyType: true, Spot: true, Count: 4}}, true, false, 0},
-		{"full, what waits fits nothing in sight", 6, []peer.Want{{CPUs: 2, AnyType: true, Zone: "y", Count: 80}}, true, false, 0},
-		{"full, what waits fits no machine", 6, []peer.Want{{CPUs: 9, AnyType: true, Spot: true, Count: 80}}, true, false, 0},
-		{"room elsewhere", 4000, []peer.Want{{CPUs: 2, AnyType: true, Spot: true, Count: 8}}, true, false, 0},
-		{"no cut", 6, []peer.Want{{CPUs: 2, AnyType: true, Spot: true, Count: 8}}, false, false, 0},
+		{"full, work waits", 6, []peer.Want{{CPUs: 2, AnyType: true, Spot: true, Count: 8}}, true, false, job.Normal, boot},
+		{"full, work waits, a new leader", 6, []peer.Want{{CPUs: 2, AnyType: true, Spot: true, Count: 8}}, true, true, job.Normal, boot},
+		{"full, urgent work is stuck there", 6, []peer.Want{{CPUs: 2, AnyType: true, Spot: true, Count: 8}}, true, false, job.High, 0},
+		{"full, little waits", 6, []peer.Want{{CPUs: 2, AnyType: true, Spot: true, Count: 4}}, true, false, job.Normal, 0},
+		{"full, what waits fits nothing in sight", 6, []peer.Want{{CPUs: 2, AnyType: true, Zone: "y", Count: 80}}, true, false, job.Normal, 0},
+		{"full, what waits fits no machine", 6, []peer.Want{{CPUs: 9, AnyType: true, Spot: true, Count: 80}}, true, false, job.Normal, 0},
+		{"room elsewhere", 4000, []peer.Want{{CPUs: 2, AnyType: true, Spot: true, Count: 8}}, true, false, job.Normal, 0},
+		{"no cut", 6, []peer.Want{{CPUs: 2, AnyType: true, Spot: true, Count: 8}}, false, false, job.Normal, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := newRig(t, c.each)
 			g.t.cfg.Operator.StandbyMeanS, g.t.cfg.Operator.OrdinaryStandbyMeanS = 1e7, 1e7 // nothing is given back
-			names := g.cloud.Fill(6)                                                        // in x, then in y
+			g.jobs = map[string]*job.Job{"j": {ID: "j", Phase: job.Accepted, Spec: &job.Spec{CPUs: 1, Priority: c.runs}}}
+			g.runs = []agent.Task{{Task: "j/0", Attempt: 1, State: wire.TaskRunning}}
+			names := g.cloud.Fill(6) // in x, then in y
 			step := func(y bool, wants []peer.Want) {
 				for i, name := range names {
 					if zone := []string{"x", "y"}[i/6]; zone == "x" || y {
