--- a/internal/rental/rental.go
+++ b/internal/rental/rental.go
@@ -120,6 +120,7 @@
 	spareAt  loop.Micros
 	judged   loop.Micros
 	darkAt   map[string]loop.Micros // when a zone was last out of sight
+	sparing  bool                   // machines behind a cut are left alone for longer
 	planAt   loop.Micros            // misses are not looked at before
 	losses   *loss.Judge
 	deleting map[string]*machine // those of machines that wait for their deletion
--- a/internal/rental/worth.go
+++ b/internal/rental/worth.go
@@ -1,6 +1,9 @@
 package rental
 
 import (
+	"maps"
+	"slices"
+
 	"cleatpick/internal/agent"
 	"cleatpick/internal/job"
 	"cleatpick/internal/loop"
@@ -32,9 +35,11 @@
 		}
 	}
 	if len(t.darkAt) == 0 {
+		t.setSparing(false)
 		return func(*machine) loop.Micros { return 0 }
 	}
 	full := !t.elsewhere(dark) && t.crowded(dark)
+	t.setSparing(full)
 	return func(m *machine) loop.Micros {
 		switch _, was := t.darkAt[m.zone]; {
 		case was && !dark[m.zone]:
@@ -48,6 +53,16 @@
 	}
 }
 
+// setSparing notes whether machines behind a cut are left alone for longer, and tells the
+// operators, who otherwise wonder why nothing is deleted.
+func (t *Rental) setSparing(on bool) {
+	if t.sparing == on {
+		return
+	}
+	t.sparing = on
+	t.log.Info("machines behind a cut", "spared", on, "zones", slices.Sorted(maps.Keys(t.darkAt)))
+}
+
 // holdsUrgent tells whether urgent work ran on a machine when it was last heard. What is
 // urgent need not queue: once it is proven off, other work gives way to it.
 func (t *Rental) holdsUrgent(m *machine) bool {
--- a/internal/rental/worth_test.go
+++ b/internal/rental/worth_test.go
@@ -75,6 +75,9 @@
 				}
 				return 0
 			}()
+			if full := c.more > 0 || c.runs == job.High; g.t.sparing != full {
+				t.Errorf("the operators are told of sparing: %v", g.t.sparing)
+			}
 			base := 19 * loop.Second // its lease, a second, and 8 s out of sight
 			if c.new {
 				base = 21 * loop.Second
