One walk over offers, one test of what an offer takes, one room of a type in rental

The same walk over types, zones and kinds stood in Supply, elsewhere and inSight, the same room of an empty machine four times, and the same test of fit in two. Comments of Preempt and of frames said what is no longer so. Nothing decided changes.

--- a/internal/fleet/stop.go
+++ b/internal/fleet/stop.go
@@ -208,8 +208,9 @@
 }
 
 // Preempt makes room for the waiting tasks of a job that found none, and tells where: a
-// claim for each. excess is what each team runs beyond its guarantee. The machines are gone through once; only the one that was chosen is looked at
-// again.
+// claim for each. excess is what each team runs beyond its guarantee. Machines are gone
+// through once, until there is enough to choose from; only the one that was chosen is
+// looked at again.
 func (f *Fleet) Preempt(need *gate.Need, want int, within bool, excess map[string]float64) (claims []peer.Claim) {
 	s := need.Spec
 	now := f.r.Now()
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -133,7 +133,7 @@
 	maxQueue = 64
 	// gatherEach, for each peer, is for how long additions to a frame are gathered: each
 	// frame wakes a process, and with fifteen nodes there are 210 ways for one. A node sends
-	// and gets no more frames a second than 200, however many there are, down to gatherMost.
+	// at most 200 frames a second, however many peers it has, until gatherMost is reached.
 	gatherEach = 5 * loop.Millisecond
 	gatherMost = 40 * loop.Millisecond
 )
--- a/internal/rental/order.go
+++ b/internal/rental/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"iter"
 	"math"
 	"slices"
 	"sort"
@@ -33,6 +34,31 @@
 	return &job.Spec{CPUs: w.CPUs, GPUs: w.GPUs, MemoryGB: w.MemoryGB, Types: w.Types, AnyType: w.AnyType, Zone: w.Zone, Spot: w.Spot}
 }
 
+// roomOf is what an empty machine of the type has free.
+func roomOf(x wire.MachineType) agent.Room {
+	return agent.Room{CPUs: x.CPUs, GPUs: x.GPUs, MemoryGB: x.MemoryGB}
+}
+
+// all lists every offer of the catalog.
+func (t *Rental) all() iter.Seq[offer] {
+	return func(yield func(offer) bool) {
+		for _, x := range t.types {
+			for _, z := range x.Zones {
+				if !yield(offer{x.Name, z, true}) || !yield(offer{x.Name, z, false}) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// takes tells whether a machine of the offer may and can take a task of the kind.
+func (t *Rental) takes(o offer, s *job.Spec) bool {
+	x, ok := t.byName[o.typ]
+	room := roomOf(x)
+	return ok && room.Fits(s) && s.AllowsPlace(o.typ, o.zone, o.spot)
+}
+
 type coming struct {
 	offer offer
 	room  agent.Room
@@ -43,7 +69,7 @@
 	var out []*coming
 	add := func(typ, zone string, spot bool) {
 		if x, ok := t.byName[typ]; ok && !t.cordoned(offer{typ, zone, spot}) {
-			out = append(out, &coming{offer{typ, zone, spot}, agent.Room{CPUs: x.CPUs, GPUs: x.GPUs, MemoryGB: x.MemoryGB}})
+			out = append(out, &coming{offer{typ, zone, spot}, roomOf(x)})
 		}
 	}
 	now := t.r.Now()
@@ -130,7 +156,7 @@
 			}
 			need[o]++
 			x := t.byName[o.typ]
-			c := &coming{o, agent.Room{CPUs: x.CPUs, GPUs: x.GPUs, MemoryGB: x.MemoryGB}}
+			c := &coming{o, roomOf(x)}
 			got := c.take(s, left)
 			if got == 0 || per == 0 {
 				break
--- a/internal/rental/supply.go
+++ b/internal/rental/supply.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"slices"
 
-	"cleatpick/internal/agent"
 	"cleatpick/internal/explain"
 	"cleatpick/internal/job"
 	"cleatpick/internal/loop"
@@ -21,32 +20,24 @@
 		return out
 	}
 	now, wall := t.r.Now(), t.r.Wall()
-	serves := func(typ, zone string, spot bool) bool {
-		x, ok := t.byName[typ]
-		room := agent.Room{CPUs: x.CPUs, GPUs: x.GPUs, MemoryGB: x.MemoryGB}
-		return ok && room.Fits(s) && s.AllowsPlace(typ, zone, spot) && !t.cordoned(offer{typ, zone, spot})
-	}
+	serves := func(o offer) bool { return t.takes(o, s) && !t.cordoned(o) }
 	for _, w := range t.wants() {
 		if w.CPUs == s.CPUs && w.GPUs == s.GPUs && w.MemoryGB == s.MemoryGB && w.Zone == s.Zone && w.Spot == s.Spot && slices.Equal(w.Types, s.Types) {
 			out.Missed += w.Count
 		}
 	}
-	for _, x := range t.types {
-		for _, z := range x.Zones {
-			for _, spot := range []bool{true, false} {
-				if !serves(x.Name, z, spot) {
-					continue
-				}
-				out.Offers++
-				if b := t.offers[offer{x.Name, z, spot}]; b != nil && now < b.until && len(out.Refused) < mostOffers {
-					until := explain.Time(wall + b.until - now)
-					out.Refused = append(out.Refused, explain.Offer{Type: x.Name, Zone: z, Kind: explain.Kind(spot), Until: &until})
-				}
-			}
+	for of := range t.all() {
+		if !serves(of) {
+			continue
+		}
+		out.Offers++
+		if b := t.offers[of]; b != nil && now < b.until && len(out.Refused) < mostOffers {
+			until := explain.Time(wall + b.until - now)
+			out.Refused = append(out.Refused, explain.Offer{Type: of.typ, Zone: of.zone, Kind: explain.Kind(of.spot), Until: &until})
 		}
 	}
 	for _, o := range t.orders {
-		if !o.o.Answered && !o.refused && serves(o.o.Type, o.o.Zone, o.o.Spot) && len(out.Ordered) < mostOffers {
+		if !o.o.Answered && !o.refused && serves(offer{o.o.Type, o.o.Zone, o.o.Spot}) && len(out.Ordered) < mostOffers {
 			out.Ordered = append(out.Ordered, explain.Offer{Type: o.o.Type, Zone: o.o.Zone, Kind: explain.Kind(o.o.Spot), Count: o.o.Count})
 		}
 	}
@@ -67,14 +58,14 @@
 }
 
 // supplyBoots counts the machines that boot, and estimates when the oldest is up.
-func (t *Rental) supplyBoots(out *explain.Supply, serves func(typ, zone string, spot bool) bool) {
+func (t *Rental) supplyBoots(out *explain.Supply, serves func(offer) bool) {
 	now := t.r.Now()
 	by := map[offer]*explain.Booting{}
 	for _, m := range t.machines {
-		if m.state != Booting || !serves(m.typ, m.zone, m.spot) {
+		of := offer{m.typ, m.zone, m.spot}
+		if m.state != Booting || !serves(of) {
 			continue
 		}
-		of := offer{m.typ, m.zone, m.spot}
 		b := by[of]
 		if b == nil {
 			if len(by) >= mostOffers {
--- a/internal/rental/worth.go
+++ b/internal/rental/worth.go
@@ -4,7 +4,6 @@
 	"maps"
 	"slices"
 
-	"cleatpick/internal/agent"
 	"cleatpick/internal/job"
 	"cleatpick/internal/loop"
 )
@@ -82,13 +81,9 @@
 // elsewhere tells whether anything can be rented in a zone that is in sight, by the
 // cloud's last word: what it refused stays refused until it was granted once.
 func (t *Rental) elsewhere(dark map[string]bool) bool {
-	for _, x := range t.types {
-		for _, z := range x.Zones {
-			for _, spot := range []bool{true, false} {
-				if o := (offer{x.Name, z, spot}); !dark[z] && t.offers[o] == nil && !t.cordoned(o) {
-					return true
-				}
-			}
+	for o := range t.all() {
+		if !dark[o.zone] && t.offers[o] == nil && !t.cordoned(o) {
+			return true
 		}
 	}
 	return false
@@ -112,15 +107,9 @@
 
 // inSight tells whether a task may run on some kind of machine in a zone that is in sight.
 func (t *Rental) inSight(s *job.Spec, dark map[string]bool) bool {
-	for _, x := range t.types {
-		room := agent.Room{CPUs: x.CPUs, GPUs: x.GPUs, MemoryGB: x.MemoryGB}
-		if !room.Fits(s) {
-			continue
-		}
-		for _, z := range x.Zones {
-			if !dark[z] && (s.AllowsPlace(x.Name, z, false) || s.AllowsPlace(x.Name, z, true)) {
-				return true
-			}
+	for o := range t.all() {
+		if !dark[o.zone] && t.takes(o, s) {
+			return true
 		}
 	}
 	return false
--- a/internal/rental/worth_test.go
+++ b/internal/rental/worth_test.go
@@ -11,6 +11,9 @@
 	"cleatpick/internal/wire"
 )
 
+// crowd is more than a machine holds.
+var crowd = []peer.Want{{CPUs: 2, AnyType: true, Spot: true, Count: 8}}
+
 // A leader once deleted 408 machines of a zone two seconds before its cut was over, while
 // all the rest of the cloud was rented and thousands of tasks waited: what that proved off
 // only joined the queue, and the zone's machines booted anew. They are left alone for a
@@ -26,14 +29,14 @@
 		runs  job.Priority // of what runs there
 		more  loop.Micros
 	}{
-		{"full, work waits", 6, []peer.Want{{CPUs: 2, AnyType: true, Spot: true, Count: 8}}, true, false, job.Normal, boot},
-		{"full, work waits, a new leader", 6, []peer.Want{{CPUs: 2, AnyType: true, Spot: true, Count: 8}}, true, true, job.Normal, boot},
-		{"full, urgent work is stuck there", 6, []peer.Want{{CPUs: 2, AnyType: true, Spot: true, Count: 8}}, true, false, job.High, 0},
+		{"full, work waits", 6, crowd, true, false, job.Normal, boot},
+		{"full, work waits, a new leader", 6, crowd, true, true, job.Normal, boot},
+		{"full, urgent work is stuck there", 6, crowd, true, false, job.High, 0},
 		{"full, little waits", 6, []peer.Want{{CPUs: 2, AnyType: true, Spot: true, Count: 4}}, true, false, job.Normal, 0},
 		{"full, what waits fits nothing in sight", 6, []peer.Want{{CPUs: 2, AnyType: true, Zone: "y", Count: 80}}, true, false, job.Normal, 0},
 		{"full, what waits fits no machine", 6, []peer.Want{{CPUs: 9, AnyType: true, Spot: true, Count: 80}}, true, false, job.Normal, 0},
-		{"room elsewhere", 4000, []peer.Want{{CPUs: 2, AnyType: true, Spot: true, Count: 8}}, true, false, job.Normal, 0},
-		{"no cut", 6, []peer.Want{{CPUs: 2, AnyType: true, Spot: true, Count: 8}}, false, false, job.Normal, 0},
+		{"room elsewhere", 4000, crowd, true, false, job.Normal, 0},
+		{"no cut", 6, crowd, false, false, job.Normal, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := newRig(t, c.each)
@@ -56,7 +59,7 @@
 			}
 			for range 100 {
 				if !c.new {
-					step(true, []peer.Want{{CPUs: 2, AnyType: true, Spot: true, Count: 8}}) // until every offer was refused
+					step(true, crowd) // until every offer was refused
 				}
 			}
 			if c.cut {
@@ -99,7 +102,7 @@
 		for i, name := range names[:n] {
 			g.hear(name, []string{"x", "y"}[i/6])
 		}
-		g.t.Tally("b", peer.Tally{Wall: g.Now(), Wants: []peer.Want{{CPUs: 2, AnyType: true, Spot: true, Count: 8}}})
+		g.t.Tally("b", peer.Tally{Wall: g.Now(), Wants: crowd})
 		g.Run(200 * loop.Millisecond)
 	}
 	for range 100 {
