--- a/internal/rental/worth.go
+++ b/internal/rental/worth.go
@@ -42,8 +42,9 @@
 	return func(m *machine) loop.Micros {
 		switch _, was := t.darkAt[m.zone]; {
 		case was && !dark[m.zone]:
-			// In sight again, it has two reports' time to show what lives there: 57 machines
-			// were once deleted in the moment in which their cut was over.
+			// In sight again, it has two reports' time to show what lives there: what was
+			// spared must not be deleted in the moment in which its cut is over. A machine
+			// that this leader never heard has no such time: see judgeBoot.
 			return hour
 		case was && full && !t.holdsUrgent(m):
 			return loop.Seconds(t.byName[m.typ].BootS)
