--- a/internal/node/together_test.go
+++ b/internal/node/together_test.go
@@ -297,7 +297,8 @@
 func TestManyReportInTheSameSecond(t *testing.T) {
 	w := newWorldOf(t, 3, size{nodes: 3, zones: 2, each: 2500}, func(c *config.Config) {
 		c.Cluster.Workers.ReportS, c.Cluster.Workers.LeaseS, c.Cluster.Workers.CancelS = 5, 26, 46
-		c.Operator.StandbyMeanS, c.Operator.OrdinaryStandbyMeanS = 1e6, 1e6
+		// Nothing is given back. With a mean of 1e6 s some of 5,000 were, on every second play.
+		c.Operator.StandbyMeanS, c.Operator.OrdinaryStandbyMeanS = 1e11, 1e11
 	})
 	names := w.cloud.Fill(2500)
 	w.run(3640 * loop.Second)
--- a/internal/rental/worth_test.go
+++ b/internal/rental/worth_test.go
@@ -40,7 +40,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := newRig(t, c.each)
-			g.t.cfg.Operator.StandbyMeanS, g.t.cfg.Operator.OrdinaryStandbyMeanS = 1e7, 1e7 // nothing is given back
+			g.t.cfg.Operator.StandbyMeanS, g.t.cfg.Operator.OrdinaryStandbyMeanS = 1e11, 1e11 // nothing is given back
 			g.jobs = map[string]*job.Job{"j": {ID: "j", Phase: job.Accepted, Spec: &job.Spec{CPUs: 1, Priority: c.runs}}}
 			g.runs = []agent.Task{{Task: "j/0", Attempt: 1, State: wire.TaskRunning}}
 			names := g.cloud.Fill(6) // in x, then in y
@@ -96,7 +96,7 @@
 // what does not is deleted as any other.
 func TestZoneIsBackInSight(t *testing.T) {
 	g := newRig(t, 6)
-	g.t.cfg.Operator.StandbyMeanS, g.t.cfg.Operator.OrdinaryStandbyMeanS = 1e7, 1e7
+	g.t.cfg.Operator.StandbyMeanS, g.t.cfg.Operator.OrdinaryStandbyMeanS = 1e11, 1e11
 	names := g.cloud.Fill(6)
 	step := func(n int) { // the first n are heard
 		for i, name := range names[:n] {
