A team without a limit is served: 0 in the settings means that there is none

Cause: cpus_max = 0 was read as a limit of nothing, and all that a visiting team submitted was answered 422, which users never repeat. A node whose settings do not name a team yet that others serve refused its work for good as well. Change: config.Limit and config.Quota say what the settings mean, once, for CPUs and GPUs; gate, preemption, the order and explain ask them. A team without a guarantee weighs as one with a twentieth of all guarantees in the order, and explain says behindGuarantees. A team that only others name gets 503.

--- /dev/null
+++ b/internal/config/quota_test.go
@@ -0,0 +1,50 @@
+package config
+
+import (
+	"encoding/json"
+	"testing"
+
+	"cleatpick/internal/fixed"
+
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) { fixed.Main(m) }
+
+// A limit against counting by hand: one task more at a time, as long as it may be.
+func TestLimitAgainstCounting(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		amount := func(name string, to int) float64 { return float64(rapid.IntRange(0, to).Draw(t, name)) / 4 }
+		team := Team{CPUs: amount("cpus", 40), CPUsMax: amount("cpus max", 40), GPUs: amount("gpus", 8), GPUsMax: amount("gpus max", 8)}
+		cpus, gpus, cpu, gpu := amount("cpus used", 60), amount("gpus used", 9), amount("cpu", 12), amount("gpu", 4)
+		n := rapid.IntRange(0, 30).Draw(t, "tasks")
+		c := &Config{}
+		c.Cluster.Teams = []Team{team, {CPUs: 40}}
+		q := c.Quota(team)
+		fits := func(k int) bool {
+			use := func(used, each, most float64) bool { return each == 0 || most == 0 || used+float64(k)*each <= most }
+			return use(cpus, cpu, team.CPUsMax) && use(gpus, gpu, team.GPUsMax)
+		}
+		want := 0
+		for want < n && fits(want+1) {
+			want++
+		}
+		if got := q.Tasks(n, cpus, cpu, gpus, gpu); got != want {
+			t.Fatalf("%d of %d tasks are let on, by hand %d", got, n, want)
+		}
+		if got, want := q.Allows(cpus, gpus), (team.CPUsMax == 0 || cpus <= team.CPUsMax) && (team.GPUsMax == 0 || gpus <= team.GPUsMax); got != want {
+			t.Fatalf("allowed: %v, by hand %v", got, want)
+		}
+		if got, want := q.Covers(cpus, gpus), (team.CPUs > 0 || team.GPUs > 0) && cpus <= team.CPUs && gpus <= team.GPUs; got != want {
+			t.Fatalf("covered: %v, by hand %v", got, want)
+		}
+		if least := floorPart * (team.CPUs + 40); q.Weight < least || q.Weight < team.CPUs {
+			t.Fatalf("the team weighs %v", q.Weight)
+		}
+		raw, err := json.Marshal(q.CPUsMax)
+		var back Limit
+		if _, bounded := q.CPUsMax.Most(); err != nil || (string(raw) == "null") == bounded || json.Unmarshal(raw, &back) != nil || back != q.CPUsMax {
+			t.Fatalf("%s is read as %v, was %v", raw, back, q.CPUsMax)
+		}
+	})
+}
--- a/internal/explain/answer.go
+++ b/internal/explain/answer.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"cleatpick/internal/config"
 	"cleatpick/internal/gate"
 )
 
@@ -105,13 +106,13 @@
 
 // TeamUse is what a team uses, may use and is guaranteed.
 type TeamUse struct {
-	Team     string  `json:"team"`
-	CPUs     float64 `json:"cpusUsed"`
-	CPUsMax  float64 `json:"cpusMax"`
-	CPUsHave float64 `json:"cpusGuaranteed"`
-	GPUs     float64 `json:"gpusUsed"`
-	GPUsMax  float64 `json:"gpusMax"`
-	Within   bool    `json:"withinGuarantee"` // the job lies within its team's guarantee
+	Team     string       `json:"team"`
+	CPUs     float64      `json:"cpusUsed"`
+	CPUsMax  config.Limit `json:"cpusMax"` // null: no limit
+	CPUsHave float64      `json:"cpusGuaranteed"`
+	GPUs     float64      `json:"gpusUsed"`
+	GPUsMax  config.Limit `json:"gpusMax"`
+	Within   bool         `json:"withinGuarantee"` // the job lies within its team's guarantee
 }
 
 // HoldDetail is who holds a job, and why.
--- a/internal/explain/facts.go
+++ b/internal/explain/facts.go
@@ -132,8 +132,8 @@
 }
 
 func (f *Facts) team() *TeamUse {
-	return &TeamUse{Team: f.Team.Name, CPUs: f.Gate.Used.CPUs, CPUsMax: f.Team.CPUsMax, CPUsHave: f.Team.CPUs,
-		GPUs: f.Gate.Used.GPUs, GPUsMax: f.Team.GPUsMax, Within: f.Within}
+	return &TeamUse{Team: f.Team.Name, CPUs: f.Gate.Used.CPUs, CPUsMax: f.Gate.Quota.CPUsMax, CPUsHave: f.Gate.Quota.CPUs,
+		GPUs: f.Gate.Used.GPUs, GPUsMax: f.Gate.Quota.GPUsMax, Within: f.Within}
 }
 
 // machines tells why the machines do not take what the job's own gates let on.
@@ -169,6 +169,10 @@
 		if !f.Within {
 			// Work within its guarantee may stop what others run beyond theirs.
 			r.State = "nothingToBorrow"
+			if !f.Gate.Quota.Guaranteed() {
+				r.State = "behindGuarantees" // nothing is stopped for a team that is guaranteed nothing
+				r.Release = "tasks end, or a machine that allows the job comes up, beyond what is guaranteed to others"
+			}
 		}
 		if kind == gate.Gang {
 			r.State, r.Release = "notAllAtOnce", "there is room for all of its tasks at once"
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -24,11 +24,13 @@
 type Node struct {
 	Healthy func() bool
 	// Ready tells whether users' requests can be decided now.
-	Ready  func() bool
-	Types  func() []wire.MachineType
-	Counts func(*job.Job) job.Counts
-	Book   *job.Book
-	Agent  *agent.Agent
+	Ready func() bool
+	Types func() []wire.MachineType
+	// Foreign tells whether a team that these settings do not name is served by others.
+	Foreign func(team string) bool
+	Counts  func(*job.Job) job.Counts
+	Book    *job.Book
+	Agent   *agent.Agent
 	// API serves what stands beside the protocol: /v1/ and /metrics; nil: nothing does.
 	API fasthttp.RequestHandler
 }
@@ -233,6 +235,11 @@
 				done(verdict{status: 503, why: "machine types not known yet"})
 				return
 			}
+			if f.n.Foreign(spec.Team) {
+				// The settings are being changed node by node. A no would be for good.
+				done(verdict{status: 503, why: "the team is not known here yet"})
+				return
+			}
 			if !job.Runnable(spec, f.cfg, types) {
 				f.n.Book.Poll(id, func(a job.Answer) {
 					if a.Code == 404 {
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -5,6 +5,7 @@
 
 import (
 	"cleatpick/internal/agent"
+	"cleatpick/internal/config"
 	"cleatpick/internal/job"
 	"cleatpick/internal/loop"
 )
@@ -106,7 +107,8 @@
 	Failures    int // in a row
 	FailedOn    int // machines
 	BackOffTo   loop.Micros
-	Used, Max   agent.Room // of its team; memory is not limited
+	Used        agent.Room // by its team; memory is not limited
+	Quota       config.Quota
 	Now, Wall   loop.Micros
 	ClockTo     loop.Micros // twice the bound on the time of day
 }
@@ -176,14 +178,7 @@
 
 // limit is how many waiting tasks the team's limit leaves room for.
 func (j *Job) limit() int {
-	n, s := j.Waiting, j.Spec
-	if s.CPUs > 0 {
-		n = min(n, int((j.Max.CPUs-j.Used.CPUs+1e-9)/s.CPUs))
-	}
-	if s.GPUs > 0 {
-		n = min(n, int((j.Max.GPUs-j.Used.GPUs+1e-9)/s.GPUs))
-	}
-	return max(n, 0)
+	return j.Quota.Tasks(j.Waiting, j.Used.CPUs, j.Spec.CPUs, j.Used.GPUs, j.Spec.GPUs)
 }
 
 // unmet tells whether a job that must be done first is not. What was read as done or
--- a/internal/job/validate.go
+++ b/internal/job/validate.go
@@ -82,7 +82,7 @@
 	if s.Service || s.Gang {
 		n = float64(s.Tasks)
 	}
-	if s.CPUs*n > team.CPUsMax+1e-9 || s.GPUs*n > team.GPUsMax+1e-9 {
+	if q := c.Quota(team); !q.Allows(s.CPUs*n, s.GPUs*n) {
 		return false
 	}
 	for _, t := range types {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"slices"
 	"strings"
 
 	"cleatpick/internal/loop"
@@ -92,13 +93,15 @@
 	// and Weight how much work a team brings; both may be nil.
 	Fit    func(node string) bool
 	Weight func(team string) int
-	uneven loop.Micros // since when this node owns more than its part; 0: it does not
+	others map[string]bool // teams that others have owned and that are not named here
+	uneven loop.Micros     // since when this node owns more than its part; 0: it does not
 }
 
 // New makes the membership; Start begins it.
 func New(r loop.Runner, c *store.Client, m *store.Mirror, log *slog.Logger, label string, teams []string, ttl loop.Micros) *Member {
 	return &Member{r: r, c: c, m: m, log: log, label: label, teams: teams, ttl: ttl,
-		freeAt: map[string]loop.Micros{}, asking: map[string]bool{}, mine: map[string]Owner{}, nodes: map[string]nodeRecord{}, evicted: map[string]loop.Micros{}}
+		freeAt: map[string]loop.Micros{}, asking: map[string]bool{}, mine: map[string]Owner{}, nodes: map[string]nodeRecord{}, evicted: map[string]loop.Micros{},
+		others: map[string]bool{}}
 }
 
 // Start begins when the mirror has been read.
@@ -112,7 +115,12 @@
 		}
 		b.nodes[name] = rec
 	})
-	b.m.On(teamKeys, func(key string, _ store.Entry) { b.review(key) })
+	b.m.On(teamKeys, func(key string, _ store.Entry) {
+		if team := strings.TrimPrefix(key, teamKeys); !slices.Contains(b.teams, team) && len(b.others) < mostOthers {
+			b.others[team] = true
+		}
+		b.review(key)
+	})
 	b.m.On(leaderKey, func(key string, _ store.Entry) { b.review(key) })
 	b.m.OnReady(func() {
 		if old, ok := b.nodes[b.label]; ok {
@@ -294,6 +302,13 @@
 	return Owner{rec.Node, rec.Epoch, e.Mark}, true
 }
 
+// mostOthers bounds the teams of others that are remembered.
+const mostOthers = 1000
+
+// Foreign tells whether others own or have owned a team that these settings do not name,
+// as while the settings are changed node by node.
+func (b *Member) Foreign(team string) bool { return b.others[team] }
+
 // review compares a claim in the mirror with what this node believes to own.
 func (b *Member) review(key string) {
 	o, ok := b.owner(key)
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -162,3 +162,15 @@
 		t.Fatalf("the team moved again: %+v, before %+v", now, before)
 	}
 }
+
+// A team that only another node's settings name is known here once that node owns it.
+func TestTeamOfOthers(t *testing.T) {
+	s := standin.NewStepped(100 * loop.Second)
+	state := standin.NewState(func() loop.Micros { return s.Now() })
+	a, b := nodeOn(s, &tap{state: state}, "a"), nodeOn(s, &tap{state: state}, "b")
+	b.teams = append(b.teams, "guest")
+	s.Run(5 * loop.Second)
+	if o, _ := a.TeamOwner("guest"); o.Node != "b" || !a.Foreign("guest") || a.Foreign("red") || b.Foreign("guest") {
+		t.Fatalf("guest is owned by %q; foreign to a: %v", o.Node, a.Foreign("guest"))
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -229,6 +229,7 @@
 		Healthy: n.healthy,
 		Ready:   n.ready,
 		Types:   n.rental.Types,
+		Foreign: n.member.Foreign,
 		Book:    n.book,
 		Agent:   n.agent,
 		Counts:  n.counts,
--- a/internal/placer/facts.go
+++ b/internal/placer/facts.go
@@ -13,7 +13,7 @@
 	tm := t.team
 	f := gate.Job{Spec: t.j.Spec, Hold: &t.j.Terms.Hold, After: p.deps(t.j), OnWithdrawn: t.j.Terms.OnWithdrawn, Damaged: t.damaged,
 		Waiting: t.waiting(), InUse: t.inUse, Failures: t.failures, FailedOn: len(t.failedOn), BackOffTo: t.holdOff,
-		Used: agent.Room{CPUs: tm.cpus, GPUs: tm.gpus}, Max: agent.Room{CPUs: tm.cfg.CPUsMax, GPUs: tm.cfg.GPUsMax},
+		Used: agent.Room{CPUs: tm.cpus, GPUs: tm.gpus}, Quota: tm.quota,
 		ClockTo: loop.Micros(p.cfg.Cluster.ClockOffMS * 2000)}
 	// The clocks are read only for the few jobs that ask for it: a pass goes through all.
 	if f.BackOffTo != 0 {
--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -76,7 +76,7 @@
 func (t *table) turn() loop.Micros {
 	s := t.j.Spec
 	work := float64(t.j.Tasks-t.completed) * float64(s.Estimate) * s.CPUs
-	return t.j.At + loop.Micros(2*work/max(t.team.cfg.CPUs, 1))
+	return t.j.At + loop.Micros(2*work/t.team.quota.Weight)
 }
 
 // place gives waiting tasks to machines with free room; those that find none are misses.
@@ -183,7 +183,7 @@
 	// Two teams that both run beyond their guarantees must not stop each other's work
 	// in turn: only one that uses less than its guarantee may claim it.
 	n := missed
-	room := t.team.cfg.CPUs - t.team.cpus
+	room := t.team.quota.CPUs - t.team.cpus
 	within := e.within && room >= s.CPUs
 	if within && s.CPUs > 0 {
 		n = min(n, int(room/s.CPUs))
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -107,7 +107,7 @@
 	if !ok {
 		return
 	}
-	tm := &team{cfg: cfg, claim: claim, jobs: map[string]*table{}, log: journal{closed: map[int]*segment{}}}
+	tm := &team{cfg: cfg, quota: p.cfg.Quota(cfg), claim: claim, jobs: map[string]*table{}, log: journal{closed: map[int]*segment{}}}
 	p.teams[name] = tm
 	p.load(tm)
 }
--- a/internal/placer/preempt.go
+++ b/internal/placer/preempt.go
@@ -67,7 +67,7 @@
 		n := float64(t.j.Tasks - t.completed)
 		cpus += n * t.j.Spec.CPUs
 		gpus += n * t.j.Spec.GPUs
-		if cpus > tm.cfg.CPUs+1e-9 || gpus > tm.cfg.GPUs+1e-9 {
+		if !tm.quota.Covers(cpus, gpus) {
 			break
 		}
 		out[t] = true
--- a/internal/placer/table.go
+++ b/internal/placer/table.go
@@ -85,6 +85,7 @@
 
 type team struct {
 	cfg    config.Team
+	quota  config.Quota
 	claim  member.Owner
 	loaded bool
 	jobs   map[string]*table
