Polls are compared together, within a part of the requests, and told 429 beyond it

Change: job/inquiry.go. Who asks while a comparison is under way waits for the next. Inquiries have a quarter of the requests; users that wait are bounded, others told 429 at once with Retry-After; retries of submissions go first; unknown jobs have a quarter of a comparison.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -179,6 +179,8 @@
 		later(ctx, 503, 1, "no answer")
 	case v.status == 503 || v.status == 429:
 		later(ctx, v.status, 1, v.why)
+	case v.a.Code == 429:
+		later(ctx, 429, max(v.a.After, 1), "too many requests at once")
 	case v.status != 0:
 		write(ctx, v.status, wire.Error{Error: v.why})
 	case v.a.Code == 200 || v.a.Code == 201:
--- a/internal/job/amend.go
+++ b/internal/job/amend.go
@@ -38,7 +38,7 @@
 		rec := edit(j)
 		if rec == nil {
 			// What is known here may be old: the store has the last word.
-			b.check(id, func(a Answer) {
+			b.check(id, Writer, func(a Answer) {
 				if k := b.jobs[id]; a.Code == 200 && k != nil && !k.Final() && edit(k) != nil && b.r.Now() < dead {
 					try()
 					return
--- /dev/null
+++ b/internal/job/inquiry.go
@@ -0,0 +1,283 @@
+package job
+
+import (
+	"slices"
+	"strings"
+
+	"cleatpick/internal/loop"
+	"cleatpick/internal/store"
+	"cleatpick/internal/wire"
+)
+
+// An inquiry confirms with the state service that what is known here of a job is the
+// newest. One transaction compares the versions of many jobs and changes nothing, and
+// all who asked about a job before it was sent share its outcome.
+//
+// Whoever asks while a comparison is under way waits for the next one. The one under way
+// may have been carried out already; another node may since have told the same user that
+// the job is accepted or over, and this one would then say less.
+
+// Asker names who wants to know. The numbers are the order of service.
+type Asker int
+
+// The askers.
+const (
+	Writer   Asker = iota // a repeated submission or another change, which must be decided
+	Known                 // a poll for a job that is known here
+	Stranger              // a poll for a job that is not
+	askers
+)
+
+// strangers is the part of a comparison, in quarters, that polls for unknown jobs have
+// when there are more of both kinds than fit; the rest is for jobs that are known.
+const strangersQuarters = 1
+
+const (
+	// mostAsked bounds the jobs that are asked about at a time, mostStrange the unknown
+	// ones among them: they cost a place in a comparison, and nothing is kept of them.
+	mostAsked   = 600
+	mostStrange = 200
+	// mostReads is how many jobs are read at a time that a comparison found changed. The
+	// watch brings the news of the others meanwhile: at the end of an outage all would have
+	// been read one by one, in place of comparing what others ask.
+	mostReads = 1
+	// inquiryGap is the time between two comparisons.
+	inquiryGap = 60 * loop.Millisecond
+)
+
+type inquiry struct {
+	id    string
+	asker Asker
+	cb    []func(Answer)
+	dead  loop.Micros
+	told  bool
+	mark  uint64 // that it was compared with
+}
+
+// inquiries are all that wait or are under way.
+type inquiries struct {
+	waiting map[string]*inquiry
+	lines   [askers][]*inquiry
+	stale   []*inquiry // found changed; the news is waited for, or read
+	reading int
+	flying  map[*inquiry]struct{} // being compared or read
+	users   int                   // that wait for an answer
+	busy    bool
+	// most bounds users: each holds a connection that a submission could use.
+	most int
+}
+
+// Asking is the number of users that wait to be told of a job's state.
+func (b *Book) Asking() int { return b.asked.users }
+
+// check confirms with the store that what is known here is the newest.
+func (b *Book) check(id string, as Asker, cb func(Answer)) {
+	j := b.jobs[id]
+	if j != nil && j.Final() {
+		cb(answer(j, 200))
+		return
+	}
+	if as != Writer && j == nil {
+		as = Stranger
+	}
+	q := &b.asked
+	x := q.waiting[id]
+	if as != Writer && (q.users >= q.most || x == nil && q.full(as)) {
+		b.c.Meter.Poll("refused")
+		cb(Answer{Code: 429, ID: id, After: q.after(b.txnOps * 4)})
+		return
+	}
+	if x == nil {
+		x = &inquiry{id: id, asker: as, dead: b.r.Now() + patience}
+		q.waiting[id] = x
+		q.lines[as] = append(q.lines[as], x)
+	} else if as < x.asker {
+		x.asker = as
+		q.lines[as] = append(q.lines[as], x) // its place in the other line is passed over
+	}
+	x.cb = append(x.cb, cb)
+	q.users++
+	b.pumpInquiries()
+}
+
+func (q *inquiries) full(as Asker) bool {
+	return len(q.waiting) >= mostAsked || as == Stranger && len(q.lines[Stranger]) >= mostStrange
+}
+
+// after is in how many seconds there is room again: what waits takes so many comparisons,
+// about ten a second, and whoever is told comes back spread over three seconds.
+func (q *inquiries) after(each int) int {
+	return 1 + min(len(q.waiting)/max(10*each, 1), 5) + q.users%3
+}
+
+// settle tells all who asked; it is the one place where an inquiry ends.
+func (b *Book) settle(x *inquiry, a Answer) {
+	if x.told {
+		return
+	}
+	x.told = true
+	if b.asked.waiting[x.id] == x {
+		delete(b.asked.waiting, x.id)
+	}
+	delete(b.asked.flying, x)
+	b.asked.users -= len(x.cb)
+	for _, cb := range x.cb {
+		cb(a)
+	}
+}
+
+// take picks what the next comparison is about: writers first, then polls, among which
+// unknown jobs have their part and no more while known ones wait.
+func (q *inquiries) take(most int) []*inquiry {
+	out := make([]*inquiry, 0, most)
+	pick := func(as Asker, most int) {
+		line := q.lines[as]
+		for len(line) > 0 && len(out) < most {
+			x := line[0]
+			line = line[1:]
+			if !x.told && x.asker == as && q.waiting[x.id] == x {
+				delete(q.waiting, x.id)
+				out = append(out, x)
+			}
+		}
+		q.lines[as] = line
+	}
+	pick(Writer, most)
+	pick(Known, most-(most-len(out))*strangersQuarters/4)
+	pick(Stranger, most)
+	pick(Known, most)
+	return out
+}
+
+// back lets an inquiry wait for the next comparison, at the head of its line.
+func (q *inquiries) back(all []*inquiry) {
+	for k := len(all) - 1; k >= 0; k-- {
+		x := all[k]
+		delete(q.flying, x)
+		if x.told {
+			continue
+		}
+		if o := q.waiting[x.id]; o != nil {
+			// Others asked meanwhile: what they need serves these too.
+			o.cb = append(o.cb, x.cb...)
+			o.dead = min(o.dead, x.dead)
+			x.told = true
+			continue
+		}
+		q.waiting[x.id] = x
+		q.lines[x.asker] = append([]*inquiry{x}, q.lines[x.asker]...)
+	}
+}
+
+// pumpInquiries sends the next comparison, one at a time.
+func (b *Book) pumpInquiries() {
+	q := &b.asked
+	b.freshen()
+	if q.busy || len(q.waiting) == 0 {
+		return
+	}
+	batch := q.take(b.txnOps * 4)
+	if len(batch) == 0 {
+		return
+	}
+	var txn wire.Txn
+	for _, x := range batch {
+		x.mark = b.mark(x.id)
+		txn.If = append(txn.If, wire.Cond{Key: Keys + x.id, Mark: x.mark})
+	}
+	q.busy = true
+	for _, x := range batch {
+		q.flying[x] = struct{}{}
+	}
+	b.c.Txn(store.Inquiries, txn, func(r store.Result) {
+		b.compared(batch, r)
+		b.r.After(inquiryGap, func() {
+			q.busy = false
+			b.pumpInquiries()
+		})
+	})
+}
+
+// mark is the version of a job's record that is known here; 0: none is.
+func (b *Book) mark(id string) uint64 {
+	if j := b.jobs[id]; j != nil {
+		return j.Mark
+	}
+	return 0
+}
+
+// compared takes in what came of a comparison.
+func (b *Book) compared(batch []*inquiry, r store.Result) {
+	failed := map[string]bool{}
+	switch r.Outcome {
+	case store.Applied, store.Conflict:
+		for _, k := range r.Failed {
+			failed[strings.TrimPrefix(k, Keys)] = true
+		}
+	case store.Refused:
+		// It cannot be told now: users are told at once when to come back.
+		for _, x := range batch {
+			b.settle(x, Answer{Code: 503, ID: x.id})
+		}
+		return
+	default:
+		b.asked.back(batch) // it changes nothing, so it may be sent again
+		return
+	}
+	for _, x := range batch {
+		switch {
+		case failed[x.id] && x.asker == Writer:
+			b.fetch(x.id, func(a Answer) { b.settle(x, a) })
+		case failed[x.id]:
+			b.asked.stale = append(b.asked.stale, x)
+		case x.mark == 0:
+			b.settle(x, Answer{Code: 404, ID: x.id})
+		default:
+			b.settle(x, answer(b.jobs[x.id], 200))
+		}
+	}
+	b.freshen()
+}
+
+// freshen lets those go on whose news has come, and reads that of some of the others.
+func (b *Book) freshen() {
+	q := &b.asked
+	var news []*inquiry
+	q.stale = slices.DeleteFunc(q.stale, func(x *inquiry) bool {
+		switch {
+		case x.told:
+			return true
+		case b.mark(x.id) != x.mark:
+			news = append(news, x)
+			return true
+		case q.reading < mostReads:
+			q.reading++
+			b.read(store.Inquiries, x.id, func(a Answer) {
+				q.reading--
+				b.settle(x, a)
+			})
+			return true
+		}
+		return false
+	})
+	q.back(news)
+}
+
+// expireInquiries gives up what waited too long: users are told to come back.
+func (b *Book) expireInquiries(now loop.Micros) {
+	q := &b.asked
+	for _, x := range q.waiting {
+		if now >= x.dead {
+			b.settle(x, Answer{Code: 503, ID: x.id})
+		}
+	}
+	for x := range q.flying {
+		if now >= x.dead {
+			b.settle(x, Answer{Code: 503, ID: x.id})
+		}
+	}
+	for as := range q.lines { // what was given up must not fill a line while none is sent
+		q.lines[as] = slices.DeleteFunc(q.lines[as], func(x *inquiry) bool { return x.told })
+	}
+	b.pumpInquiries() // the news that some wait for may have come
+}
--- /dev/null
+++ b/internal/job/inquiry_test.go
@@ -0,0 +1,216 @@
+package job
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"cleatpick/internal/loop"
+	"cleatpick/internal/standin"
+	"cleatpick/internal/store"
+	"cleatpick/internal/wire"
+)
+
+// slowNet lets every request take its time on the way there and back.
+type slowNet struct {
+	*standin.Stepped
+	rng   *rand.Rand
+	state *standin.State
+	sent  map[string]int // requests by path
+	back  bool
+	lose  float64
+	slow  int // milliseconds at most, each way
+}
+
+func (n *slowNet) delay() loop.Micros { return loop.Micros(n.rng.IntN(n.slow)) * loop.Millisecond }
+
+func (n *slowNet) Post(f func()) {
+	if n.back {
+		n.After(n.delay(), f)
+		return
+	}
+	n.Stepped.Post(f)
+}
+
+func (n *slowNet) Go(f func()) {
+	n.After(n.delay(), func() {
+		n.back = true
+		f()
+		n.back = false
+	})
+}
+
+func (n *slowNet) Do(method, path string, body []byte, _ time.Duration) store.Response {
+	if path == "/multi" {
+		n.sent[path]++
+	} else {
+		n.sent["/store"]++
+	}
+	if n.rng.Float64() < n.lose {
+		return store.Response{Err: io.ErrUnexpectedEOF}
+	}
+	return n.state.Do(method, path, body, 0)
+}
+
+func newSlowBook(seed uint64, rps float64) (*slowNet, *Book) {
+	n := &slowNet{Stepped: standin.NewStepped(100 * loop.Second), rng: rand.New(rand.NewPCG(seed, 3)), sent: map[string]int{}, slow: 120}
+	n.state = standin.NewState(n.Now)
+	log := slog.New(slog.DiscardHandler)
+	c := store.NewClient(n, n, log, rps, rps, 1)
+	return n, NewBook(n, c, store.NewMirror(c, n, "c/"), log, 16)
+}
+
+// rankOf is how much an answer says: none, accepted, over.
+func rankOf(p Phase) int {
+	switch p {
+	case Accepted:
+		return 1
+	case Done, Withdrawn:
+		return 2
+	}
+	return 0
+}
+
+// However polls overlap, an answer never says less than the state service held when its
+// user asked, nor more than it holds when the user is told; each user is told once, in
+// time. Polls once joined a comparison that was under way: what another node had told
+// since was then taken back.
+func TestAnswersAreNeverOlderThanTheirQuestions(t *testing.T) {
+	for seed := range uint64(150) {
+		n, b := newSlowBook(seed, 60)
+		n.lose = 0.02
+		spec := &Spec{Class: "k", Team: "red", Tasks: 1, CPUs: 1, MemoryGB: 1, Image: "i", AnyType: true}
+		held := map[string]int{}
+		answers, good := 0, 0
+		const polls = 300
+		for k := range 8 { // another node accepts jobs and ends them
+			id := fmt.Sprintf("job-%d", k)
+			n.After(loop.Micros(n.rng.IntN(8000))*loop.Millisecond, func() {
+				n.state.Put(Keys+id, Record{Phase: Accepted, At: 1, Spec: spec})
+				held[id] = 1
+				n.After(loop.Micros(n.rng.IntN(4000))*loop.Millisecond, func() {
+					n.state.Put(Keys+id, Record{Phase: Done, At: 1, Tasks: 1})
+					held[id] = 2
+				})
+			})
+		}
+		for range polls {
+			n.After(loop.Micros(n.rng.IntN(10000))*loop.Millisecond, func() {
+				id := fmt.Sprintf("job-%d", n.rng.IntN(8))
+				asked, at, told := held[id], n.Now(), false
+				b.Poll(id, func(a Answer) {
+					answers++
+					if told || n.Now()-at > patience+300*loop.Millisecond {
+						t.Fatalf("seed %d: %s is told %v after %d us", seed, id, told, n.Now()-at)
+					}
+					told = true
+					if a.Code == 503 || a.Code == 429 {
+						return
+					}
+					good++
+					if got := rankOf(a.Phase); got < asked || got > held[id] || (a.Code == 404) != (got == 0) {
+						t.Fatalf("seed %d: %s is called %q (%d), it was at %d when asked and is at %d", seed, id, a.Phase, a.Code, asked, held[id])
+					}
+				})
+			})
+		}
+		n.Run(15 * loop.Second)
+		if answers != polls || good < polls*8/10 || b.Asking() != 0 || len(b.asked.flying) != 0 {
+			t.Fatalf("seed %d: %d of %d polls are answered, %d well; %d wait", seed, answers, polls, good, b.Asking())
+		}
+	}
+}
+
+// A storm of polls, for one job by many, for many jobs, for jobs that nobody knows, or after
+// an outage, when much has changed: submissions and their retries are decided as fast as
+// without it, what is too much is told so at once, the requests that it costs are bounded,
+// and no kind of poll keeps the others from being answered.
+func TestPollStorms(t *testing.T) {
+	const jobs, rps, rate, span = 250, 30, 3000, 4
+	for _, c := range []struct {
+		name    string
+		id      func(n int) string
+		changed int // jobs of which the news has not come here
+		good    int // in a hundred polls for jobs that are known and have not changed
+	}{
+		{"none", nil, 0, 0},
+		{"one job by many", func(int) string { return "job-1" }, 0, 65},
+		{"many jobs", func(n int) string { return fmt.Sprintf("job-%d", n%jobs) }, 0, 35},
+		{"unknown jobs", func(n int) string { return fmt.Sprintf("job-9%d", n) }, 0, 0},
+		{"unknown jobs beside known ones", func(n int) string {
+			if n%3 == 0 {
+				return fmt.Sprintf("job-%d", n%jobs)
+			}
+			return fmt.Sprintf("job-9%d", n)
+		}, 0, 50},
+		{"an outage is over", func(n int) string { return fmt.Sprintf("job-%d", n%jobs) }, 100, 15},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			n, b := newSlowBook(1, rps)
+			n.slow = 6
+			b.MostAsking(450)
+			spec := &Spec{Class: "k", Team: "red", Tasks: 1, CPUs: 1, MemoryGB: 1, Image: "i", AnyType: true}
+			for k := range jobs {
+				id := fmt.Sprintf("job-%d", k)
+				mark := n.state.Put(Keys+id, Record{Phase: Accepted, At: 1, Spec: spec})
+				b.m.Apply(Keys+id, wire.Marshal(Record{Phase: Accepted, At: 1, Spec: spec}), mark, false)
+				if k >= jobs-c.changed {
+					n.state.Put(Keys+id, Record{Phase: Accepted, At: 2, Spec: spec})
+				}
+			}
+			known, good, most := 0, 0, 0
+			for k := 0; c.id != nil && k < rate*span; k++ {
+				n.After(loop.Micros(k)*loop.Second/rate, func() {
+					id, at := c.id(k), n.Now()
+					var no int
+					fmt.Sscanf(id, "job-%d", &no)
+					same := no < jobs-c.changed
+					if same {
+						known++
+					}
+					b.Poll(id, func(a Answer) {
+						if same && a.Code == 200 {
+							good++
+						}
+						if a.Code == 429 && (n.Now() != at || a.After < 1 || a.After > 10) {
+							t.Fatalf("a refusal after %d us, with %d s", n.Now()-at, a.After)
+						}
+					})
+					most = max(most, b.Asking())
+				})
+			}
+			stored, retried, longest := 0, 0, loop.Micros(0)
+			for k := range span * 5 {
+				n.After(loop.Micros(k)*200*loop.Millisecond, func() {
+					at := n.Now()
+					b.Submit(fmt.Sprintf("job-5%06d", k), spec, func(a Answer) {
+						if a.Code == 201 {
+							stored++
+							longest = max(longest, n.Now()-at)
+						}
+					})
+					b.Submit(fmt.Sprintf("job-%d", k), spec, func(a Answer) {
+						if a.Code == 200 {
+							retried++
+							longest = max(longest, n.Now()-at)
+						}
+					})
+				})
+			}
+			n.Run((span + 3) * loop.Second)
+			if stored != span*5 || retried != span*5 || longest > 700*loop.Millisecond {
+				t.Errorf("of %d submissions %d are stored and %d retries answered, after %d us at most", span*5, stored, retried, longest)
+			}
+			if good*100 < known*c.good || most > 460 { // with those who retry
+				t.Errorf("%d of %d polls are answered well; up to %d waited", good, known, most)
+			}
+			if all, bound := n.sent["/store"]+n.sent["/multi"], (span+3)*rps/4+span*5+12; all > bound {
+				t.Errorf("the storm costs %v requests, %d are allowed", n.sent, bound)
+			}
+
+		})
+	}
+}
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -106,7 +106,8 @@
 
 // Answer is what a user is told.
 type Answer struct {
-	Code    int // 200, 201, 404, or 503: ask again
+	Code    int // 200, 201, 404, or 429 and 503: ask again
+	After   int // seconds after which to ask again; 0: one
 	Phase   Phase
 	ID      string
 	Tasks   int
@@ -121,11 +122,6 @@
 	dead  loop.Micros
 }
 
-type pendingCheck struct {
-	cb   []func(Answer)
-	dead loop.Micros
-}
-
 // Book holds all jobs known to this node.
 type Book struct {
 	r        loop.Runner
@@ -138,15 +134,15 @@
 	creates  map[string]*pendingCreate
 	order    []string
 	creating bool
-	checks   map[string]*pendingCheck
-	corder   []string
-	checking int
+	asked    inquiries
 	// OnJob is called whenever a job's record is new or has changed.
 	OnJob func(*Job)
 }
 
 const (
 	maxWaiting = 600
+	// mostUsers bounds the users that wait to be told of a job, unless MostAsking says less.
+	mostUsers = 2000
 	// patience is how long a user waits here before being told to come back.
 	patience = 1500 * loop.Millisecond
 )
@@ -154,7 +150,7 @@
 // NewBook makes the book.
 func NewBook(r loop.Runner, c *store.Client, m *store.Mirror, log *slog.Logger, txnOps int) *Book {
 	b := &Book{r: r, c: c, m: m, log: log, txnOps: txnOps, jobs: map[string]*Job{}, bad: map[string]bool{},
-		creates: map[string]*pendingCreate{}, checks: map[string]*pendingCheck{}}
+		creates: map[string]*pendingCreate{}, asked: inquiries{waiting: map[string]*inquiry{}, flying: map[*inquiry]struct{}{}, most: mostUsers}}
 	m.On(Keys, b.learn)
 	loop.Every(r, 250*loop.Millisecond, b.expire)
 	return b
@@ -205,6 +201,10 @@
 	return false
 }
 
+// MostAsking bounds the users that may wait to be told of a job's state: each holds a
+// connection, and some must be left to submissions.
+func (b *Book) MostAsking(n int) { b.asked.most = min(max(n, 1), mostUsers) }
+
 // Get finds a job known here.
 func (b *Book) Get(id string) *Job { return b.jobs[id] }
 
@@ -230,7 +230,7 @@
 		return
 	}
 	if j := b.jobs[id]; j != nil {
-		b.check(id, cb)
+		b.check(id, Writer, cb)
 		return
 	}
 	if p := b.creates[id]; p != nil {
@@ -329,8 +329,10 @@
 }
 
 // fetch asks the store itself for a job.
-func (b *Book) fetch(id string, cb func(Answer)) {
-	b.c.Get(store.Answers, Keys+id, func(it wire.Item, found, ok bool) {
+func (b *Book) fetch(id string, cb func(Answer)) { b.read(store.Answers, id, cb) }
+
+func (b *Book) read(p store.Prio, id string, cb func(Answer)) {
+	b.c.Get(p, Keys+id, func(it wire.Item, found, ok bool) {
 		switch {
 		case !ok:
 			cb(Answer{Code: 503, ID: id})
@@ -354,103 +356,12 @@
 		return
 	}
 	if j := b.jobs[id]; j != nil && j.Final() {
+		b.c.Meter.Poll("final")
 		cb(answer(j, 200))
 		return
 	}
-	b.check(id, cb)
-}
-
-// check confirms with the store that what is known here is the newest.
-func (b *Book) check(id string, cb func(Answer)) {
-	if j := b.jobs[id]; j != nil && j.Final() {
-		cb(answer(j, 200))
-		return
-	}
-	if p := b.checks[id]; p != nil {
-		p.cb = append(p.cb, cb)
-		return
-	}
-	if len(b.checks) >= maxWaiting {
-		cb(Answer{Code: 429, ID: id})
-		return
-	}
-	b.checks[id] = &pendingCheck{cb: []func(Answer){cb}, dead: b.r.Now() + patience}
-	b.corder = append(b.corder, id)
-	b.pumpChecks()
-}
-
-func (b *Book) settleCheck(id string, a Answer) {
-	p := b.checks[id]
-	if p == nil {
-		return
-	}
-	delete(b.checks, id)
-	for _, cb := range p.cb {
-		cb(a)
-	}
-}
-
-// pumpChecks compares many jobs' versions in one transaction that changes nothing.
-func (b *Book) pumpChecks() {
-	if b.checking > 0 || len(b.corder) == 0 {
-		return
-	}
-	limit := b.txnOps * 4
-	var ids, later []string
-	var txn wire.Txn
-	marks := map[string]uint64{}
-	for _, id := range b.corder {
-		if b.checks[id] == nil {
-			continue
-		}
-		if len(ids) >= limit {
-			later = append(later, id)
-			continue
-		}
-		var mark uint64
-		if j := b.jobs[id]; j != nil {
-			mark = j.Mark
-		}
-		ids = append(ids, id)
-		marks[id] = mark
-		txn.If = append(txn.If, wire.Cond{Key: Keys + id, Mark: mark})
-	}
-	b.corder = later
-	if len(ids) == 0 {
-		return
-	}
-	b.checking++
-	b.c.Txn(store.Answers, txn, func(r store.Result) {
-		wait := loop.Micros(60 * loop.Millisecond)
-		switch r.Outcome {
-		case store.Applied, store.Conflict:
-			failed := map[string]bool{}
-			for _, k := range r.Failed {
-				failed[strings.TrimPrefix(k, Keys)] = true
-			}
-			for _, id := range ids {
-				switch {
-				case failed[id]:
-					b.fetch(id, func(a Answer) { b.settleCheck(id, a) })
-				case marks[id] == 0:
-					b.settleCheck(id, Answer{Code: 404, ID: id})
-				default:
-					b.settleCheck(id, answer(b.jobs[id], 200))
-				}
-			}
-		case store.Refused:
-			for _, id := range ids {
-				b.settleCheck(id, Answer{Code: 503, ID: id})
-			}
-		default:
-			b.corder = append(ids, b.corder...)
-			wait = 150 * loop.Millisecond
-		}
-		b.r.After(wait, func() {
-			b.checking--
-			b.pumpChecks()
-		})
-	})
+	b.c.Meter.Poll("compared")
+	b.check(id, Known, cb)
 }
 
 // expire gives up requests that waited too long: their users are told to come back.
@@ -461,11 +372,7 @@
 			b.settleCreate(id, Answer{Code: 503, ID: id})
 		}
 	}
-	for id, p := range b.checks {
-		if now >= p.dead {
-			b.settleCheck(id, Answer{Code: 503, ID: id})
-		}
-	}
+	b.expireInquiries(now)
 }
 
 // DoneChange is the change that makes a job done; it goes with DoneCond.
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -28,6 +28,7 @@
 	lag      prometheus.Histogram
 	requests *prometheus.CounterVec
 	whys     prometheus.Histogram
+	polls    *prometheus.CounterVec
 	probes   *prometheus.CounterVec
 	doubtful prometheus.Gauge
 	moments  *prometheus.HistogramVec
@@ -72,6 +73,7 @@
 	m.lag = histogram("loop_lag_seconds", "How much later than asked a timer of the loop ran.", shortBuckets)
 	m.requests = counters("api_requests_total", "Requests under /v1/ by status class.", "status")
 	m.whys = histogram("why_seconds", "How long gathering one explanation held the loop.", shortBuckets)
+	m.polls = counters("polls_total", "Questions about a job's state: final answers from memory, those that were compared, and those refused for coming too often.", "how")
 	m.probes = counters("probes_total", "Silent machines that were asked directly, by what came of it.", "word")
 	m.doubtful = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "cleatpick", Name: "machines_in_doubt", Help: "Silent machines of which nobody can tell yet whether they come back; told by the leader."})
 	m.moments = prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: "cleatpick", Name: "moment_machines",
@@ -127,6 +129,13 @@
 	}
 }
 
+// Poll counts a question about a job's state; how it was answered is a fixed list.
+func (m *Meter) Poll(how string) {
+	if m != nil {
+		m.polls.WithLabelValues(how).Inc()
+	}
+}
+
 // Probe counts a silent machine that was asked directly; the words are a fixed list.
 func (m *Meter) Probe(word string) {
 	if m != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -111,6 +111,7 @@
 	}
 	n.member = member.New(l, n.client, n.mirror, log, cfg.Label, teams, loop.Seconds(cfg.Operator.NodeLeaseS))
 	n.book = job.NewBook(l, n.client, n.mirror, log, cfg.Cluster.State.TxnOps)
+	n.book.MostAsking(cfg.Cluster.Limits.MaxSockets / 4)
 	n.cordons = cordon.NewBook(l, n.client, n.mirror, log, loop.Micros(cfg.Cluster.ClockOffMS*2000))
 	n.net = peer.New(l, log, cfg.Label, cfg.Known)
 	n.agent = agent.New(l, log, agent.Host{
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -23,6 +23,7 @@
 const (
 	Leases Prio = iota
 	Answers
+	Inquiries // what polls need: within a part of the requests that nothing else waits for
 	Placements
 	Results
 	Background
@@ -138,6 +139,7 @@
 	log      *slog.Logger
 	reads    bucket
 	puts     bucket
+	asks     bucket // of the reads, what inquiries may take
 	queues   [prios][]request
 	inFlight int
 	waking   bool
@@ -155,6 +157,10 @@
 const (
 	maxInFlight = 24
 	maxQueue    = 2000
+	// inquiryPart is the part of the requests that inquiries may take. They go before
+	// starts and outcomes, so that no poll is put off for ever, and are bounded, so that
+	// polls many times as often as usual take nothing from these.
+	inquiryPart = 0.25
 )
 
 var errQueue = errors.New("too many requests waiting for the state service")
@@ -164,6 +170,7 @@
 	share := 0.9 / float64(max(nodes, 1))
 	return &Client{r: r, do: do, log: log,
 		reads: bucket{rate: rps * share, burst: max(rps*share*0.5, 4)},
+		asks:  bucket{rate: rps * share * inquiryPart, burst: max(rps*share*inquiryPart*0.5, 2)},
 		puts:  bucket{rate: writeRPS * share, burst: max(writeRPS*share*0.9, 4)},
 	}
 }
@@ -216,9 +223,14 @@
 	now := c.r.Now()
 	c.reads.fill(now)
 	c.puts.fill(now)
+	c.asks.fill(now)
 	for p := Leases; p < prios; p++ {
 		for len(c.queues[p]) > 0 {
 			q := c.queues[p][0]
+			if p == Inquiries && c.asks.have < 1 {
+				c.wakeLater()
+				break
+			}
 			if p != Leases {
 				if now < c.pauseTo || c.inFlight >= maxInFlight || c.reads.have < 1 ||
 					(q.writes > 0 && c.puts.have < min(float64(q.writes), c.puts.burst)) {
@@ -228,6 +240,9 @@
 			}
 			c.queues[p] = c.queues[p][1:]
 			c.reads.have--
+			if p == Inquiries {
+				c.asks.have--
+			}
 			c.puts.have -= float64(q.writes)
 			c.inFlight++
 			c.r.Go(func() {
