Broken jobs are told from faulty machines by who fails where; a burst counts once

Cause: each failure of one burst doubled the job's rest (32 s after a millisecond), two failures in a row put any machine to rest, so that a job with a mistake rested the machines that it touched, and a job whose tasks met faulty machines rested itself. Change: health.Blame (machines against jobs, thresholds named, every node alike) and health.Trial (untried, sound, doubted, broken; moments, rests, a width that grows from a probe with what outlives the failures). Tasks that failed wait behind those that did not; a job's next task shuns machines on which it failed. Gates and explain tell it.

--- a/internal/explain/answer.go
+++ b/internal/explain/answer.go
@@ -130,10 +130,13 @@
 	Policy string `json:"onWithdrawn,omitempty"`
 }
 
-// Failing tells of a job that fails wherever it runs.
+// Failing tells of a job whose tasks fail. Failures of one moment count once; machines
+// that fail other jobs' tasks as well do not count.
 type Failing struct {
-	InARow   int `json:"inARow"`
-	Machines int `json:"machines"`
+	InARow   int    `json:"inARow"` // moments of failure
+	Machines int    `json:"machines"`
+	Judged   string `json:"judged"` // untried, sound, doubted or broken
+	Tasks    int    `json:"tasks"`  // waiting tasks that failed before
 }
 
 // Needs is what each task asks of its machine.
--- a/internal/explain/facts.go
+++ b/internal/explain/facts.go
@@ -5,6 +5,7 @@
 
 	"cleatpick/internal/config"
 	"cleatpick/internal/gate"
+	"cleatpick/internal/health"
 	"cleatpick/internal/job"
 	"cleatpick/internal/loop"
 )
@@ -116,21 +117,32 @@
 			}
 		}
 	case gate.BackOff:
-		until := Time(f.Wall + f.Gate.BackOffTo - f.Now)
-		left := Span(f.Gate.BackOffTo - f.Now)
+		until := Time(f.Wall + f.Gate.Failing.RestTo - f.Now)
+		left := Span(f.Gate.Failing.RestTo - f.Now)
 		r.State, r.Until = "resting", &until
 		r.Estimate = &Estimate{Low: left, Likely: left, High: left + Span(loop.Second)}
-		r.Detail.Failures = &Failing{f.Gate.Failures, f.Gate.FailedOn}
-		r.Release = "its rest is over; then one task at a time tries again"
+		r.Detail.Failures = f.failing()
+		r.Release = "its rest is over; then a few of its tasks try again"
 	case gate.Probe:
-		r.State, r.Release = "oneAtATime", "a task of the job completes"
-		r.Detail.Failures = &Failing{f.Gate.Failures, f.Gate.FailedOn}
+		r.State, r.Release = "oneAtATime", "a task of the job completes; others follow once it has run for longer than those that failed"
+		switch x := &f.Gate.Failing; {
+		case x.State == health.Sound || x.State == health.Untried:
+			r.State, r.Release = "failedBefore", "tasks that failed before complete; the job's others go on"
+		case x.Width > 1:
+			r.State = "growing"
+		}
+		r.Detail.Failures = f.failing()
 	case gate.Limit:
 		r.State, r.Release = "full", "tasks of the team "+f.Team.Name+" end, or its limit is raised"
 		r.Detail.Team = f.team()
 	}
 }
 
+func (f *Facts) failing() *Failing {
+	x := &f.Gate.Failing
+	return &Failing{InARow: x.Moments, Machines: x.Machines, Judged: x.State.String(), Tasks: x.Late}
+}
+
 func (f *Facts) team() *TeamUse {
 	return &TeamUse{Team: f.Team.Name, CPUs: f.Gate.Used.CPUs, CPUsMax: f.Gate.Quota.CPUsMax, CPUsHave: f.Gate.Quota.CPUs,
 		GPUs: f.Gate.Used.GPUs, GPUsMax: f.Gate.Quota.GPUsMax, Within: f.Within}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -262,6 +262,9 @@
 	return sh, !s.OneZone && !s.Spread
 }
 
+// shunned is more than any two machines' scores differ by.
+const shunned = 100
+
 // Ranked lists those of the slots that may take a task of the job, the best first. A
 // machine that takes a task becomes fuller, and so stays the best until it is full: the
 // list need not be made anew for every task.
@@ -275,7 +278,11 @@
 	var all []scored
 	for _, sl := range slots {
 		if sl.Open(after, now) && sl.Takes(need) {
-			all = append(all, scored{sl, sl.score(need.Spec, f.n.Label)})
+			score := sl.score(need.Spec, f.n.Label)
+			if _, failed := need.Shun[sl.V.Name]; failed {
+				score -= shunned
+			}
+			all = append(all, scored{sl, score})
 		}
 	}
 	slices.SortStableFunc(all, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -6,6 +6,7 @@
 import (
 	"cleatpick/internal/agent"
 	"cleatpick/internal/config"
+	"cleatpick/internal/health"
 	"cleatpick/internal/job"
 	"cleatpick/internal/loop"
 )
@@ -23,8 +24,8 @@
 	Damaged      Kind = 4  // a record of the job's tasks cannot be read
 	Hold         Kind = 5  // held by a user or an operator
 	Dependency   Kind = 6  // another job must be done first
-	BackOff      Kind = 7  // it failed wherever it ran, and rests
-	Probe        Kind = 8  // it failed wherever it ran: one task at a time tries again
+	BackOff      Kind = 7  // it failed, and rests
+	Probe        Kind = 8  // it failed, and only a few tasks try again
 	Limit        Kind = 9  // the team's limit
 	Gang         Kind = 10 // no room for all of its tasks at once
 	Cordon       Kind = 11 // an operator keeps starts off the machines that could take it
@@ -83,10 +84,6 @@
 // Everything is more tasks than any job has.
 const Everything = 1 << 30
 
-// manyFailures is how often, and on how many machines, a job must have failed in a row
-// before it counts as failing everywhere.
-const manyFailures = 3
-
 // Dep is a job that must be done first, as far as it is known.
 type Dep struct {
 	_      struct{} `cbor:",toarray"`
@@ -104,24 +101,47 @@
 	Damaged     bool
 	Waiting     int
 	InUse       int // tasks that may be on machines
-	Failures    int // in a row
-	FailedOn    int // machines
-	BackOffTo   loop.Micros
+	Failing     Failing
 	Used        agent.Room // by its team; memory is not limited
 	Quota       config.Quota
 	Now, Wall   loop.Micros
 	ClockTo     loop.Micros // twice the bound on the time of day
 }
 
-// fails tells whether the job fails wherever it runs.
-func (j *Job) fails() bool { return j.Failures >= manyFailures && j.FailedOn >= manyFailures }
+// Failing is what is known of a job's failures.
+type Failing struct {
+	State    health.TrialState
+	Moments  int // of failure, in a row
+	Machines int // on which it failed, not at fault themselves, since a task completed
+	RestTo   loop.Micros
+	Width    int // tasks that may be under way while the job is not trusted
+	Late     int // waiting tasks that failed before
+	LateNow  int // of these, how many are tried at once after a rest
+}
 
-// BackOffFor is how long a job that fails everywhere rests; 0: it does not.
-func BackOffFor(failures, failedOn int) loop.Micros {
-	if failures < manyFailures || failedOn < manyFailures {
-		return 0
+// trusted tells whether nothing but the tasks that failed is held back.
+func (f *Failing) trusted() bool {
+	return f.State == health.Untried || f.State == health.Sound
+}
+
+// resting tells whether what failed waits for the end of a rest.
+func (j *Job) resting() bool { return j.Now < j.Failing.RestTo }
+
+// probes is how many waiting tasks its failures let a job have under way. A gang is tried
+// as a whole: one of its tasks alone would wait for the others.
+func (j *Job) probes() int {
+	f := &j.Failing
+	switch {
+	case j.Spec.Gang || f.Moments == 0:
+		return Everything
+	case !f.trusted():
+		return f.Width - j.InUse
 	}
-	return loop.Second << min(failures-manyFailures, 5)
+	fresh := j.Waiting - f.Late
+	if fresh > 0 && j.resting() {
+		return fresh
+	}
+	return fresh + f.LateNow
 }
 
 // whole are the gates that let all of a job's tasks on or none.
@@ -142,12 +162,10 @@
 	case Dependency:
 		shut = j.unmet()
 	case BackOff:
-		shut = j.Now < j.BackOffTo
+		// Tasks of a sound job that never failed do not wait for those that did.
+		shut = j.resting() && (!j.Failing.trusted() || j.Spec.Gang || j.Failing.Late >= j.Waiting)
 	case Probe:
-		// A gang is tried as a whole: one of its tasks alone would wait for the others.
-		if j.fails() && !j.Spec.Gang {
-			return 1 - j.InUse
-		}
+		return j.probes()
 	case Limit:
 		return j.limit()
 	}
--- a/internal/gate/place.go
+++ b/internal/gate/place.go
@@ -54,6 +54,8 @@
 	Spec  *job.Spec
 	Tasks int
 	Zones map[string]int // tasks that may be on machines, by zone
+	// Shun names machines on which the job failed: others are better, where there are any.
+	Shun map[string]struct{}
 }
 
 // Place is a machine as the machine gates see it.
--- /dev/null
+++ b/internal/health/blame_test.go
@@ -0,0 +1,239 @@
+package health
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"cleatpick/internal/agent"
+	"cleatpick/internal/loop"
+	"cleatpick/internal/wire"
+
+	"pgregory.net/rapid"
+)
+
+// ending is a task's end as it was seen.
+type ending struct {
+	at                 loop.Micros
+	machine, job, task string
+	ok                 bool
+}
+
+// plainBlame keeps all that ever happened, and works every verdict out from the first.
+type plainBlame []ending
+
+// failedOn lists the machines on which the job failed since a task of it completed.
+func (p plainBlame) failedOn(job string) (on []string, sound bool) {
+	for _, e := range p {
+		switch {
+		case e.job != job:
+		case e.ok:
+			on, sound = nil, true
+		case !slices.Contains(on, e.machine):
+			on = append(on, e.machine)
+		}
+	}
+	return on, sound
+}
+
+func (p plainBlame) roams(task, machine string) bool {
+	return slices.ContainsFunc(p, func(e ending) bool { return e.task == task && !e.ok && e.machine != machine })
+}
+
+func (p plainBlame) atFault(machine string) bool {
+	from := 0
+	for i, e := range p {
+		if e.machine == machine && e.ok {
+			from = i + 1
+		}
+	}
+	times := map[string][]loop.Micros{}
+	for _, e := range p[from:] {
+		if e.machine == machine && !p.roams(e.task, machine) {
+			times[e.job] = append(times[e.job], e.at)
+		}
+	}
+	words := 0
+	for job, at := range times {
+		on, sound := p.failedOn(job)
+		others := len(slices.DeleteFunc(on, func(m string) bool { return m == machine }))
+		switch {
+		case others >= 2:
+		case !sound:
+			words++
+		case at[len(at)-1]-at[0] >= 2*loop.Second:
+			words += 4
+		default:
+			words += 2
+		}
+	}
+	return words >= 4
+}
+
+func (p plainBlame) against(job string) (n int) {
+	on, _ := p.failedOn(job)
+	for _, m := range on {
+		if !p.atFault(m) {
+			n++
+		}
+	}
+	return n
+}
+
+// show lets a machine report one more ended attempt.
+func show(b *Blame, e ending, attempt uint64) {
+	why := wire.WhyError
+	if e.ok {
+		why = wire.WhyDone
+	}
+	b.View(e.at, &agent.View{Name: e.machine, Tasks: []agent.Task{{Task: e.task, Attempt: attempt, State: wire.TaskExited, Why: why}}}, &agent.Changes{All: true})
+}
+
+// Who is at fault, step by step against a judge that keeps everything.
+func TestBlameAgainstHistory(t *testing.T) {
+	verdicts := 0
+	rapid.Check(t, func(t *rapid.T) {
+		b := NewBlame()
+		var p plainBlame
+		now := loop.Micros(loop.Second)
+		attempts := map[string]uint64{}
+		done := map[string]bool{}
+		for range rapid.IntRange(1, 60).Draw(t, "ends") {
+			now += loop.Micros(rapid.SampledFrom([]int{0, 100, 1999, 2000, 9000}).Draw(t, "later")) * loop.Millisecond
+			job := fmt.Sprint("job-", rapid.IntRange(1, 6).Draw(t, "job"))
+			e := ending{now, fmt.Sprint("n-", rapid.IntRange(1, 5).Draw(t, "machine")), job,
+				fmt.Sprint(job, "/", rapid.IntRange(0, 4).Draw(t, "task")), rapid.IntRange(0, 4).Draw(t, "ok") == 0}
+			if done[e.task] {
+				continue
+			}
+			done[e.task] = e.ok
+			attempts[e.task]++
+			show(b, e, attempts[e.task])
+			show(b, e, attempts[e.task]) // a view is told again
+			p = append(p, e)
+			for k := 1; k <= 6; k++ {
+				m, j := fmt.Sprint("n-", k), fmt.Sprint("job-", k)
+				want := p.atFault(m)
+				if got := b.AtFault(m); got != want {
+					t.Fatalf("%s is at fault: %v, by its history %v; %v", m, got, want, p)
+				}
+				if want {
+					verdicts++
+				}
+				if got, want := b.Against(j), p.against(j); got != want {
+					t.Fatalf("%d machines speak against %s, by its history %d; %v", got, j, want, p)
+				}
+				if b.Until(m) > now && !want && b.Until(m) > now+120*loop.Second {
+					t.Fatalf("%s rests until %d", m, b.Until(m))
+				}
+			}
+		}
+	})
+	if verdicts == 0 {
+		t.Error("no machine was ever at fault")
+	}
+}
+
+// Troubles as they come, each with its verdicts: a machine that is well never rests, and a
+// job that can succeed is never called broken.
+func TestWhoFailsWhere(t *testing.T) {
+	const s = loop.Second
+	run := func(list ...ending) *Blame {
+		b := NewBlame()
+		attempts := map[string]uint64{}
+		for _, e := range list {
+			e.task = e.job + "/" + e.task
+			attempts[e.task]++
+			show(b, e, attempts[e.task])
+		}
+		return b
+	}
+	fails := func(at loop.Micros, machine, job string, from, n int) (out []ending) {
+		for i := range n {
+			out = append(out, ending{at, machine, job, fmt.Sprint(from + i), false})
+		}
+		return out
+	}
+	ok := func(at loop.Micros, machine, job string, no int) []ending {
+		return []ending{{at, machine, job, fmt.Sprint(no), true}}
+	}
+	for _, c := range []struct {
+		name    string
+		ends    [][]ending
+		faulty  []string // machines that rest
+		against map[string]int
+	}{
+		{"a broken job's whole width fails at once", [][]ending{fails(s, "a", "job-1", 0, 8), fails(s, "b", "job-1", 8, 8), fails(s, "c", "job-1", 16, 8), fails(s, "d", "job-1", 24, 8)},
+			nil, map[string]int{"job-1": 4}},
+		{"its probes go from machine to machine", [][]ending{fails(s, "a", "job-1", 0, 1), fails(4*s, "b", "job-1", 0, 1), fails(9*s, "c", "job-1", 0, 1), fails(19*s, "a", "job-1", 0, 1)},
+			nil, map[string]int{"job-1": 3}},
+		{"three broken jobs on one machine that is well", [][]ending{fails(s, "a", "job-1", 0, 4), fails(s, "a", "job-2", 0, 4), fails(s, "a", "job-3", 0, 4)},
+			nil, map[string]int{"job-1": 1, "job-2": 1, "job-3": 1}},
+		{"a machine fails every task", [][]ending{ok(s, "b", "job-1", 0), ok(s, "b", "job-2", 0), fails(2*s, "a", "job-1", 1, 4), fails(3*s, "a", "job-2", 1, 4)},
+			[]string{"a"}, map[string]int{"job-1": 0, "job-2": 0}},
+		{"a machine fails one sound job's tasks again", [][]ending{ok(s, "b", "job-1", 0), fails(2*s, "a", "job-1", 1, 8), fails(5*s, "a", "job-1", 1, 2)},
+			[]string{"a"}, map[string]int{"job-1": 0}},
+		{"a new job on three machines that fail everything", [][]ending{ok(s, "x", "job-7", 0), ok(s, "x", "job-8", 0),
+			fails(2*s, "a", "job-7", 1, 2), fails(2*s, "a", "job-8", 1, 2), ok(3*s, "x", "job-7", 5), ok(3*s, "x", "job-8", 5),
+			fails(4*s, "b", "job-7", 10, 2), fails(4*s, "b", "job-8", 10, 2), ok(5*s, "x", "job-7", 6), ok(5*s, "x", "job-8", 6),
+			fails(6*s, "c", "job-7", 20, 2), fails(6*s, "c", "job-8", 20, 2),
+			fails(7*s, "a", "job-1", 0, 8), fails(7*s, "b", "job-1", 8, 8), fails(7*s, "c", "job-1", 16, 8)},
+			[]string{"a", "b", "c"}, map[string]int{"job-1": 0}},
+		{"a job broken in some of its tasks", [][]ending{ok(s, "a", "job-1", 0), fails(2*s, "a", "job-1", 1, 1), fails(4*s, "b", "job-1", 1, 1), ok(5*s, "b", "job-1", 2),
+			fails(7*s, "c", "job-1", 1, 1), fails(12*s, "a", "job-1", 1, 1), fails(22*s, "b", "job-1", 1, 1)},
+			nil, map[string]int{"job-1": 3}},
+	} {
+		b := run(slices.Concat(c.ends...)...)
+		for _, m := range []string{"a", "b", "c", "d", "x"} {
+			if rests := b.Until(m) > 0; rests != slices.Contains(c.faulty, m) {
+				t.Errorf("%s: %s rests: %v", c.name, m, rests)
+			}
+		}
+		for job, want := range c.against {
+			if got := b.Against(job); got != want {
+				t.Errorf("%s: %d machines speak against %s, want %d", c.name, got, job, want)
+			}
+		}
+	}
+}
+
+// Failures of one moment count once, rests double from one moment to the next, and a job
+// is trusted with more only by what outlived its failures.
+func TestTrial(t *testing.T) {
+	const s = loop.Second
+	var tr Trial
+	var states []string
+	tr.Changed = func(_, to TrialState) { states = append(states, to.String()) }
+	now := 100 * s
+	for i := range 33 { // one burst
+		tr.Fail(now+loop.Micros(i), 95*s, min(1+i/8, BrokenOn))
+	}
+	if tr.Moments != 1 || tr.RestTo != now+s || tr.State != Broken {
+		t.Fatalf("after one burst: %d moments, rest %d, %v", tr.Moments, tr.RestTo-now, tr.State)
+	}
+	for k, want := range []loop.Micros{2 * s, 4 * s, 8 * s, 16 * s, 32 * s, 32 * s, 32 * s} {
+		now += 60 * s
+		tr.Fail(now, now-50*s, 4) // a minute to fail
+		if got := tr.RestTo - now; got != want || tr.Moments != k+2 {
+			t.Errorf("moment %d: rests for %d, want %d", tr.Moments, got, want)
+		}
+	}
+	if tr.Survives(now, now-52*s) || !tr.Survives(now, now-52*s-1) || Width(0) != 1 || Width(3) != 7 {
+		t.Error("what outlives a failure that took 50 s has run for more than 52 s")
+	}
+	tr.Complete(false)
+	if tr.Moments != 0 || tr.RestTo != 0 || !tr.Trusted() {
+		t.Errorf("after a success: %d moments, %v", tr.Moments, tr.State)
+	}
+	now += 60 * s
+	tr.Fail(now, now-s, 1)
+	tr.Fail(now+3*s, now+2*s, 1)
+	tr.Complete(false) // of a task that never failed
+	if tr.Moments != 2 || tr.State != Sound || tr.Late(8) != 2 || tr.Late(1) != 1 || tr.Late(0) != 0 {
+		t.Errorf("a sound job with failures: %d moments, %v, %d of 8 again", tr.Moments, tr.State, tr.Late(8))
+	}
+	tr.Complete(true)
+	if tr.Moments != 0 || fmt.Sprint(states) != "[doubted broken sound]" {
+		t.Errorf("in the end %d moments, by %v", tr.Moments, states)
+	}
+}
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -29,6 +29,7 @@
 	requests *prometheus.CounterVec
 	whys     prometheus.Histogram
 	polls    *prometheus.CounterVec
+	trials   *prometheus.CounterVec
 	probes   *prometheus.CounterVec
 	doubtful prometheus.Gauge
 	moments  *prometheus.HistogramVec
@@ -74,6 +75,7 @@
 	m.requests = counters("api_requests_total", "Requests under /v1/ by status class.", "status")
 	m.whys = histogram("why_seconds", "How long gathering one explanation held the loop.", shortBuckets)
 	m.polls = counters("polls_total", "Questions about a job's state: final answers from memory, those that were compared, and those refused for coming too often.", "how")
+	m.trials = counters("jobs_judged_total", "Jobs that came to be judged sound, doubted or broken by who fails where.", "state")
 	m.probes = counters("probes_total", "Silent machines that were asked directly, by what came of it.", "word")
 	m.doubtful = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "cleatpick", Name: "machines_in_doubt", Help: "Silent machines of which nobody can tell yet whether they come back; told by the leader."})
 	m.moments = prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: "cleatpick", Name: "moment_machines",
@@ -136,6 +138,13 @@
 	}
 }
 
+// Trial counts a job that came to be judged; the states are a fixed list.
+func (m *Meter) Trial(state string) {
+	if m != nil {
+		m.trials.WithLabelValues(state).Inc()
+	}
+}
+
 // Probe counts a silent machine that was asked directly; the words are a fixed list.
 func (m *Meter) Probe(word string) {
 	if m != nil {
--- a/internal/placer/facts.go
+++ b/internal/placer/facts.go
@@ -12,12 +12,13 @@
 func (p *Placer) facts(t *table) gate.Job {
 	tm := t.team
 	f := gate.Job{Spec: t.j.Spec, Hold: &t.j.Terms.Hold, After: p.deps(t.j), OnWithdrawn: t.j.Terms.OnWithdrawn, Damaged: t.damaged,
-		Waiting: t.waiting(), InUse: t.inUse, Failures: t.failures, FailedOn: len(t.failedOn), BackOffTo: t.holdOff,
+		Waiting: t.waiting(), InUse: t.inUse,
 		Used: agent.Room{CPUs: tm.cpus, GPUs: tm.gpus}, Quota: tm.quota,
 		ClockTo: loop.Micros(p.cfg.Cluster.ClockOffMS * 2000)}
 	// The clocks are read only for the few jobs that ask for it: a pass goes through all.
-	if f.BackOffTo != 0 {
+	if t.trial.Moments != 0 || t.trial.RestTo != 0 {
 		f.Now = p.r.Now()
+		f.Failing = p.failing(t, f.Now)
 	}
 	if f.Hold.State != job.HoldNone {
 		f.Wall = p.r.Wall()
@@ -104,7 +105,7 @@
 
 // need is what a task of the job asks of a machine.
 func (t *table) need() gate.Need {
-	return gate.Need{ID: t.j.ID, Spec: t.j.Spec, Tasks: t.j.Tasks, Zones: t.zones}
+	return gate.Need{ID: t.j.ID, Spec: t.j.Spec, Tasks: t.j.Tasks, Zones: t.zones, Shun: t.shun}
 }
 
 // staleAfter is how long after its last word a machine takes no starts.
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -45,20 +45,20 @@
 
 // Placer owns the tables of the owned teams.
 type Placer struct {
-	r        loop.Runner
-	c        *store.Client
-	log      *slog.Logger
-	cfg      *config.Config
-	n        Node
-	book     *job.Book
-	cordons  *cordon.Book
-	agent    *agent.Agent
-	teams    map[string]*team
-	on       map[string]*aboard // tasks in use by machine
-	failures *health.Failures
-	fleet    *fleet.Fleet
-	placing  bool
-	took     loop.Micros // how long the newest pass took
+	r       loop.Runner
+	c       *store.Client
+	log     *slog.Logger
+	cfg     *config.Config
+	n       Node
+	book    *job.Book
+	cordons *cordon.Book
+	agent   *agent.Agent
+	teams   map[string]*team
+	on      map[string]*aboard // tasks in use by machine
+	blame   *health.Blame
+	fleet   *fleet.Fleet
+	placing bool
+	took    loop.Micros // how long the newest pass took
 
 	commitAt loop.Micros // when the next commit is due; 0: none
 	zoneMemo map[string]string
@@ -76,7 +76,7 @@
 // New makes the placer.
 func New(r loop.Runner, c *store.Client, log *slog.Logger, cfg *config.Config, n Node, book *job.Book, a *agent.Agent, cordons *cordon.Book) *Placer {
 	p := &Placer{r: r, cordons: cordons, c: c, log: log, cfg: cfg, n: n, book: book, agent: a, teams: map[string]*team{}, on: map[string]*aboard{},
-		failures: health.NewFailures(), zoneMemo: map[string]string{}, nonce: rand.Uint64() >> 1, usage: map[string]peer.Usage{},
+		blame: health.NewBlame(), zoneMemo: map[string]string{}, nonce: rand.Uint64() >> 1, usage: map[string]peer.Usage{},
 
 		checked: map[string]loop.Micros{}, paces: health.Paces{}}
 	p.fleet = fleet.New(r, log, fleet.Node{Label: n.Label, Type: n.Type, Room: a.Room, Jobs: a.Jobs, Unshown: p.unshown, Stop: n.Stop,
@@ -129,7 +129,8 @@
 func (p *Placer) tableOf(tm *team, j *job.Job) *table {
 	t := tm.jobs[j.ID]
 	if t == nil {
-		t = &table{j: j, team: tm, blocks: make([]*[blockSize]task, (j.Tasks+blockSize-1)/blockSize), zones: map[string]int{}, failedOn: map[string]bool{}}
+		t = &table{j: j, team: tm, blocks: make([]*[blockSize]task, (j.Tasks+blockSize-1)/blockSize), zones: map[string]int{}}
+		p.watch(t)
 		tm.enter(t)
 	}
 	return t
@@ -139,6 +140,7 @@
 func (p *Placer) Job(j *job.Job) {
 	if j.Final() {
 		delete(p.paces, j.ID)
+		p.blame.Over(j.ID)
 	}
 	if j.Spec == nil {
 		return
--- a/internal/placer/table.go
+++ b/internal/placer/table.go
@@ -11,6 +11,7 @@
 	"cleatpick/internal/agent"
 	"cleatpick/internal/config"
 	"cleatpick/internal/gate"
+	"cleatpick/internal/health"
 	"cleatpick/internal/job"
 	"cleatpick/internal/loop"
 	"cleatpick/internal/member"
@@ -43,6 +44,7 @@
 	spread  bool        // it was sent to more than one host
 	sentAt  loop.Micros
 	chosen  loop.Micros // when its machine was chosen
+	failed  bool        // the attempt before ended in an error
 	seen    bool        // its machine has shown it
 	pending bool        // and more views are needed to judge it
 	running bool
@@ -67,12 +69,12 @@
 	running   int
 	zones     map[string]int // tasks in use by zone
 	closing   bool           // the job's completion is being stored
-	failedOn  map[string]bool
-	failures  int
-	holdOff   loop.Micros // it failed everywhere, and rests until then
-	damaged   bool        // a record of its tasks cannot be read
-	amendAt   loop.Micros // its record is not amended again before
-	short     gate.Kind   // by which gate of the machines its tasks found no room in the newest pass; 0: none
+	late      []int          // tasks that failed, to be placed again after all others
+	trial     health.Trial
+	shun      map[string]struct{} // machines on which it failed lately
+	damaged   bool                // a record of its tasks cannot be read
+	amendAt   loop.Micros         // its record is not amended again before
+	short     gate.Kind           // by which gate of the machines its tasks found no room in the newest pass; 0: none
 	shortAt   loop.Micros
 	stopped   map[string]string // by machine: the job for which tasks of it were stopped
 	causes    []gate.Cause      // as last told
@@ -156,17 +158,22 @@
 func (t *table) name(i int) string { return agent.TaskName(t.j.ID, i) }
 
 // waiting is the number of tasks free to be placed.
-func (t *table) waiting() int { return len(t.back) + t.j.Tasks - t.next }
+func (t *table) waiting() int { return len(t.back) + len(t.late) + t.j.Tasks - t.next }
 
-// pop takes the next waiting task; those that ran before go first.
+// pop takes the next waiting task; those that ran before go first, and those that failed last.
 func (t *table) pop() int {
 	if n := len(t.back); n > 0 {
 		i := t.back[n-1]
 		t.back = t.back[:n-1]
 		return i
 	}
-	t.next++
-	return t.next - 1
+	if t.next < t.j.Tasks {
+		t.next++
+		return t.next - 1
+	}
+	i := t.late[0]
+	t.late = t.late[1:]
+	return i
 }
 
 // setTask is the one place where a task changes state. It keeps the team's use,
@@ -209,7 +216,11 @@
 	}
 	if s == Waiting && was != Waiting {
 		x.seen, x.pending, x.ours, x.sentTo, x.spread, x.sentAt, x.stopAt = false, false, false, "", false, 0, 0
-		t.back = append(t.back, i)
+		if x.failed {
+			t.late = append(t.late, i)
+		} else {
+			t.back = append(t.back, i)
+		}
 	}
 }
 
