A machine that answers a question is not taken for one that serves

Cause: loss.Answers counted a machine's silence anew whenever it answered a probe. A machine whose reports reach nobody was back, in doubt, asked and back again every two seconds for as long as that lasted, and no owner saw what ran on it. Change: answering is a fact of its own (alive since), the moment is not opened by it, and a machine whose reports reach nobody is given up when one that is out of sight would be: one lease and 8 s. Probes of it are as far apart as its reports.

--- a/internal/loss/loss.go
+++ b/internal/loss/loss.go
@@ -22,7 +22,7 @@
 const (
 	Heard    State = iota // its reports come in
 	Late                  // it has missed reports; it is asked directly in its turn
-	Alive                 // it answers when asked: only its reports go astray
+	Alive                 // it answers when asked, but its reports reach nobody that this node hears
 	Hung                  // it takes connections and answers nothing: it may go on within its lease
 	OutOfWay              // no connection comes about, and nothing tells it from a cut on the way
 	Dead                  // no connection comes about, while its neighbours answer
@@ -46,6 +46,13 @@
 
 func (w Word) String() string { return [...]string{"none", "answered", "mute", "noWay"}[w] }
 
+// stray is for how long a machine may answer while its reports reach nobody: as long as
+// one that is out of sight is left. A worker that nobody answers has found another node by
+// then, or ended its tasks; one that is answered has a host that is cut off from the rest,
+// and what runs there is neither seen nor stopped. After that it is given up, whatever
+// comes of it: a machine is neither used nor given up for no longer than this.
+func (r *Rules) stray() loop.Micros { return r.leaseOver() + r.Out }
+
 // Rules are the times by which is judged.
 type Rules struct {
 	Report loop.Micros // between reports
@@ -97,8 +104,15 @@
 	asking bool
 	asked  loop.Micros
 	before loop.Micros // when it was asked the time before
+	// answered is when it last answered. That proves that it lives, and not that it serves:
+	// taken for a report, it was called back every two seconds, fifty times over, while no
+	// owner saw what ran on it.
+	answered loop.Micros
 }
 
+// lives is when the machine was last known to live.
+func (m *machine) lives() loop.Micros { return max(m.Heard, m.answered) }
+
 // zone is what is known of the way to a zone's machines.
 type zone struct {
 	heard   int         // machines that are heard
@@ -216,15 +230,20 @@
 	if s.Blind {
 		return ""
 	}
-	silence := s.Now - m.Heard
+	silence := s.Now - m.lives()
 	// Whoever goes on just before its lease is over is found by a last question.
-	last := m.Addr == "" || (!m.asking && m.asked >= m.Heard+j.r.Lease)
+	last := m.Addr == "" || (!m.asking && m.asked >= m.lives()+j.r.Lease)
 	if j.r.Most > 0 && silence > j.r.Most {
 		return "silent"
 	}
 	z := j.zones[m.Zone]
 	over := j.r.leaseOver()
 	switch m.word {
+	case Answered:
+		if s.Now-m.Heard > j.r.stray()+m.Worth {
+			return "its reports reach nobody"
+		}
+		return ""
 	case Mute:
 		// It has power. Should it go on within its lease, its tasks have lost nothing.
 		j.setState(m, Hung, "it takes connections")
@@ -283,9 +302,12 @@
 		if m.word == NoWay {
 			j.askNear(s.Now, m.Zone)
 		}
-		if m.word == Mute && m.times >= 2 && (s.Now-m.Heard <= j.r.Lease || m.asked > m.Heard+j.r.Lease) && s.Now-m.asked < 5*loop.Second {
+		if m.word == Mute && m.times >= 2 && (s.Now-m.lives() <= j.r.Lease || m.asked > m.lives()+j.r.Lease) && s.Now-m.asked < 5*loop.Second {
 			continue // it hangs, and reports by itself once it goes on
 		}
+		if m.word == Answered && s.Now-m.asked < j.r.Report {
+			continue // asked as often as it would report
+		}
 		if j.probing >= j.r.Probes {
 			return
 		}
@@ -308,6 +330,7 @@
 	}
 	j.meter.Probe(w.String())
 	if w == Answered {
+		m.answered = m.asked
 		j.setState(m, Alive, "it answers")
 	}
 }
@@ -333,14 +356,3 @@
 		}
 	})
 }
-
-// Answers lists the machines that answered when asked since the call before, so that
-// their silence is counted anew: their own lease decides, which they know best.
-func (j *Judge) Answers(f func(name string)) {
-	for name, m := range j.machines {
-		if m.word == Answered {
-			m.word, m.times = None, 0
-			f(name)
-		}
-	}
-}
--- a/internal/loss/loss_test.go
+++ b/internal/loss/loss_test.go
@@ -32,7 +32,8 @@
 	wellAt      loop.Micros // when it went on
 	lostAt      loop.Micros
 	why         string
-	inCut       bool // its zone was cut off when it was lost
+	inCut       bool        // its zone was cut off when it was lost
+	stray       loop.Micros // until when its reports reach nobody
 }
 
 type answer struct {
@@ -105,12 +106,11 @@
 			}
 		}
 		y.answers = append(kept, y.answers...)
-		y.j.Answers(func(name string) { y.byName[name].heard = y.now })
 		for i, r := range y.all {
 			if r.back != 0 && y.now >= r.back && r.lostAt == 0 {
 				r.is, r.back, r.wellAt = well, 0, y.now
 			}
-			if r.is == well && r.lostAt == 0 && y.now >= y.cut[r.zone] && (y.now/step+loop.Micros(i))%(y.rules.Report/step) == 0 {
+			if r.is == well && r.lostAt == 0 && y.now >= y.cut[r.zone] && y.now >= r.stray && (y.now/step+loop.Micros(i))%(y.rules.Report/step) == 0 {
 				r.heard = y.now
 			}
 		}
@@ -248,6 +248,52 @@
 	})
 }
 
+// Machines that live and whose reports reach nobody are in no doubt, back and in doubt
+// again: the moment is over once each has answered, nothing is lost that is heard again in
+// time, and none is left for longer than stated.
+func TestReportsThatReachNobody(t *testing.T) {
+	y := newYard(2, 40)
+	y.run(10 * loop.Second)
+	began := y.now
+	for _, r := range y.all[:20] {
+		r.stray = began + y.rules.stray() - 2*y.rules.Report - loop.Second
+	}
+	for _, r := range y.all[20:30] {
+		r.stray = began + 500*loop.Second
+	}
+	for _, r := range y.all[30:35] { // answered by their host, they hang for less than a lease
+		r.stray = began + 22*loop.Second
+	}
+	falls, was := 0, Calm
+	for k := range 300 {
+		y.run(step)
+		if k == 40 {
+			y.fall(hangs, began+22*loop.Second, y.all[30:35]...)
+		}
+		if s := y.j.moment.state; s != was {
+			if was = s; s == Falling {
+				falls++
+			}
+		}
+	}
+	if falls > 1 || was != Calm {
+		t.Errorf("the moment began %d times and is %v", falls, was)
+	}
+	for i, r := range y.all {
+		switch took := r.lostAt - r.heard; {
+		case i >= 20 && i < 30:
+			if r.lostAt == 0 || took > y.rules.stray()+loop.Second || r.why != "its reports reach nobody" {
+				t.Errorf("%s is lost as %q after %d us", r.name, r.why, took)
+			}
+		case r.lostAt != 0:
+			t.Errorf("%s is lost as %q after %d us", r.name, r.why, took)
+		}
+	}
+	if most := 30 * int(y.rules.stray()/y.rules.Report+3); y.probes > most {
+		t.Errorf("%d probes of 30 machines", y.probes)
+	}
+}
+
 // A node that hears nobody judges nobody.
 func TestBlind(t *testing.T) {
 	y := newYard(1, 10)
--- a/internal/loss/moment.go
+++ b/internal/loss/moment.go
@@ -100,7 +100,7 @@
 		return
 	}
 	for name, m := range j.machines {
-		if m.doubtful() && m.state != Dead && now-m.Heard <= j.r.Lease {
+		if m.doubtful() && m.state != Dead && now-m.lives() <= j.r.Lease {
 			f(name)
 		}
 	}
--- a/internal/placer/trial.go
+++ b/internal/placer/trial.go
@@ -11,6 +11,9 @@
 func (p *Placer) watch(t *table) {
 	t.trial.Changed = func(from, to health.TrialState) {
 		p.n.Meter.Trial(to.String())
+		if from == health.Untried && to == health.Sound {
+			return // as nearly all
+		}
 		p.log.Info("job judged", "job", t.j.ID, "from", from.String(), "to", to.String(), "moments", t.trial.Moments, "machines", p.blame.Against(t.j.ID))
 	}
 	if n := p.blame.Against(t.j.ID); n >= health.BrokenOn {
--- a/internal/rental/machine.go
+++ b/internal/rental/machine.go
@@ -177,11 +177,6 @@
 
 // judgeSilent has all machines that were heard before judged at once.
 func (t *Rental) judgeSilent(now loop.Micros, worth func(*machine) loop.Micros) {
-	t.losses.Answers(func(name string) {
-		if m := t.machines[name]; m != nil {
-			m.heard = now
-		}
-	})
 	scene := loss.Scene{Now: now, Blind: t.n.Isolated() || now-t.started < 2*loop.Second, Unheard: t.n.Unheard}
 	for _, x := range t.losses.Look(scene, func(yield func(*loss.Facts)) {
 		for _, m := range t.machines {
