One judge of which node reaches which; what comes and goes is trusted later

Cause: 'is a node reachable' was judged in four places by its newest word. A node whose words reach nobody took itself for whole, teams went to one that comes and goes, and all workers were coached to whoever hosts least, that is to a node that has just returned. Change: internal/reach. Nodes tell whom they hear; states silent, one way, partial, whole; a node that comes and goes is given work only once it was whole for 16 to 32 s, and a minute of good behaviour makes up for it. A node that no peer hears is isolated even if it hears them; an owner that lacks a way that others have hands over where a whole node is there. A node that lost its lease again and again claims later.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -89,11 +89,15 @@
 	alone    bool        // what the others were told of this node's isolation
 	telling  bool
 	evicted  map[string]loop.Micros
-	// Fit tells whether another node is heard and has contact with the state service,
-	// and Weight how much work a team brings; both may be nil.
+	// Fit tells whether another node may be given work, Broken whether the way between
+	// this one and a node that others hear is broken, and Weight how much work a team
+	// brings; all may be nil.
 	Fit    func(node string) bool
+	Broken func() bool
 	Weight func(team string) int
 	others map[string]bool // teams that others have owned and that are not named here
+	joined loop.Micros     // when the lease that it holds began
+	losses int             // leases that ended before they had held for long, in a row
 	uneven loop.Micros     // since when this node owns more than its part; 0: it does not
 }
 
@@ -151,7 +155,7 @@
 			b.r.After(400*loop.Millisecond, b.join)
 			return
 		}
-		b.lease, b.until = id, sent+b.ttl
+		b.lease, b.until, b.joined = id, sent+b.ttl, b.r.Now()
 		b.setState(Numbered)
 		b.number(id)
 		b.r.After(b.ttl/4, func() { b.renew(id) })
@@ -260,6 +264,10 @@
 // lost gives up everything: the lease has ended, and with it all that hung on it.
 func (b *Member) lost() {
 	b.log.Info("node lease ended", "lease", b.lease)
+	if b.r.Now()-b.joined >= goodFor {
+		b.losses = 0
+	}
+	b.losses++
 	b.lease, b.until, b.alone = 0, 0, false
 	for key := range b.mine {
 		b.drop(key)
@@ -346,7 +354,7 @@
 		// places then sees a part of the machines each: the leader takes it all.
 		if _, ok := b.Leader(); ok && now-b.handed > 2*loop.Second {
 			b.handed = now
-			b.handOver()
+			b.handOver("no peer is heard")
 		}
 	}
 	if isolated && !gather && len(b.mine) > 0 && (b.handed == 0 || now-b.handed > 30*loop.Second) {
@@ -354,7 +362,14 @@
 		// reports elsewhere: those who hear each other should own what it owns.
 		// Should nobody take it, it is claimed again below, and kept for a while.
 		b.handed = now
-		b.handOver()
+		b.handOver("no peer is heard")
+	}
+	broken := !isolated && b.Broken != nil && b.Broken()
+	if broken && len(b.mine) > 0 && (b.handed == 0 || now-b.handed > 30*loop.Second) && b.anyFit() {
+		// What reports to the node that is not reached is neither seen nor reached by this
+		// owner; one that reaches all of them should own what it owns.
+		b.handed = now
+		b.handOver("a node that others hear is not reached")
 	}
 	b.share(now)
 	owned := len(b.mine)
@@ -378,9 +393,12 @@
 			wait = 0
 		case gather && key != leaderKey:
 			continue
-		case isolated && !gather:
+		case isolated && !gather, broken:
 			wait += 4 * loop.Second
 		}
+		if len(b.nodes) > 1 {
+			wait += b.damped(now)
+		}
 		if now-at >= wait {
 			owned++
 			b.claim(key)
@@ -388,6 +406,33 @@
 	}
 }
 
+// anyFit tells whether a node that may be given work is registered.
+func (b *Member) anyFit() bool {
+	for node := range b.nodes {
+		if node != b.label && b.Fit != nil && b.Fit(node) {
+			return true
+		}
+	}
+	return false
+}
+
+const (
+	// A node that lost its lease twice and more claims later than others do, by backward
+	// doubled each time up to mostBackward: it would lose its teams once more.
+	backward     = loop.Second
+	mostBackward = 8 * loop.Second
+	// goodFor is for how long it must hold its lease to be as any other.
+	goodFor = 60 * loop.Second
+)
+
+// damped is how much later than others this node claims what is free.
+func (b *Member) damped(now loop.Micros) loop.Micros {
+	if b.losses < 2 || now-b.joined >= goodFor {
+		return 0
+	}
+	return min(backward<<min(b.losses-2, 10), mostBackward)
+}
+
 // uneven ownership is borne for this long before it is evened out.
 const unevenFor = 8 * loop.Second
 
@@ -476,9 +521,9 @@
 }
 
 // handOver gives everything owned back, so that others may claim it.
-func (b *Member) handOver() {
+func (b *Member) handOver(why string) {
 	for key := range b.mine {
-		b.giveBack(key, "no peer is heard")
+		b.giveBack(key, why)
 	}
 }
 
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"fmt"
+	"strconv"
 
 	"cleatpick/internal/loop"
 
@@ -29,6 +30,7 @@
 	requests *prometheus.CounterVec
 	whys     prometheus.Histogram
 	polls    *prometheus.CounterVec
+	peers    *prometheus.CounterVec
 	trials   *prometheus.CounterVec
 	probes   *prometheus.CounterVec
 	doubtful prometheus.Gauge
@@ -75,6 +77,7 @@
 	m.requests = counters("api_requests_total", "Requests under /v1/ by status class.", "status")
 	m.whys = histogram("why_seconds", "How long gathering one explanation held the loop.", shortBuckets)
 	m.polls = counters("polls_total", "Questions about a job's state: final answers from memory, those that were compared, and those refused for coming too often.", "how")
+	m.peers = counters("peer_changes_total", "Changes of how a peer is reached, by the new state; damped: it came and went, and is not given work for a while.", "state", "damped")
 	m.trials = counters("jobs_judged_total", "Jobs that came to be judged sound, doubted or broken by who fails where.", "state")
 	m.probes = counters("probes_total", "Silent machines that were asked directly, by what came of it.", "word")
 	m.doubtful = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "cleatpick", Name: "machines_in_doubt", Help: "Silent machines of which nobody can tell yet whether they come back; told by the leader."})
@@ -138,6 +141,13 @@
 	}
 }
 
+// Peer counts a change of how a peer is reached; the states are a fixed list.
+func (m *Meter) Peer(state string, damped bool) {
+	if m != nil {
+		m.peers.WithLabelValues(state, strconv.FormatBool(damped)).Inc()
+	}
+}
+
 // Trial counts a job that came to be judged; the states are a fixed list.
 func (m *Meter) Trial(state string) {
 	if m != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 	"cleatpick/internal/metric"
 	"cleatpick/internal/peer"
 	"cleatpick/internal/placer"
+	"cleatpick/internal/reach"
 	"cleatpick/internal/rental"
 	"cleatpick/internal/store"
 	"cleatpick/internal/wire"
@@ -42,6 +43,7 @@
 	placer   *placer.Placer
 	rental   *rental.Rental
 	net      *peer.Net
+	reach    *reach.Judge
 	front    *front.Front
 	out      Outside
 	progress map[string]job.Counts
@@ -114,6 +116,8 @@
 	n.book.MostAsking(cfg.Cluster.Limits.MaxSockets / 4)
 	n.cordons = cordon.NewBook(l, n.client, n.mirror, log, loop.Micros(cfg.Cluster.ClockOffMS*2000))
 	n.net = peer.New(l, log, cfg.Label, cfg.Known)
+	n.reach = reach.New(l, log, cfg.Label, n.net.Peers(), loop.Micros(cfg.Cluster.ClockOffMS*2000))
+	n.reach.Changed = func(_ string, to reach.State, damped bool) { n.meter.Peer(to.String(), damped) }
 	n.agent = agent.New(l, log, agent.Host{
 		Label:     cfg.Label,
 		MayAnswer: n.mayAnswer,
@@ -181,14 +185,14 @@
 		},
 		Unheard: func(zone string) bool {
 			for _, p := range cfg.Known {
-				if p.Site == zone && l.Now()-n.net.Known(p.Label).Heard > 3*loop.Second {
+				if p.Site == zone && !n.reach.Heard(p.Label, 3*loop.Second) {
 					return true
 				}
 			}
 			return false
 		},
 		Entitled: n.member.Entitled,
-		Isolated: func() bool { return n.isolated() && !n.member.AllAlone() },
+		Isolated: func() bool { return n.reach.Isolated() && !n.member.AllAlone() },
 		Faulty:   n.placer.Faulty,
 		Meter:    n.meter,
 		Cordoned: func(typ, zone string, spot bool) bool {
@@ -207,11 +211,8 @@
 		}
 		n.placer.Job(j)
 	}
-	n.member.Isolated = n.isolated
-	n.member.Fit = func(label string) bool {
-		s, fresh := n.freshPeer(label)
-		return fresh && s.Contact
-	}
+	n.member.Isolated = n.reach.Isolated
+	n.member.Fit, n.member.Broken = n.reach.Fit, n.reach.Broken
 	n.member.Weight = n.placer.InUse
 	n.member.OnOwned = n.placer.Owned
 	n.member.OnLeader = n.rental.Lead
@@ -257,6 +258,9 @@
 
 // receive takes in a frame of a peer.
 func (n *Node) receive(e *peer.Envelope) {
+	if s := e.Status; s != nil {
+		n.reach.Hear(e.From, reach.Word{Wall: s.Wall, Contact: s.Contact, Hears: s.Hears})
+	}
 	for _, v := range e.Views {
 		if v != nil && v.Name != "" {
 			n.agent.Learn(v)
@@ -332,7 +336,7 @@
 // sendOn tells whether workers should report elsewhere. A node that hears no peer
 // sends them on: to the leader, where no node hears another, or to whom they find.
 func (n *Node) sendOn() (bool, string) {
-	if !n.isolated() || n.member.Nodes() < 2 {
+	if !n.reach.Isolated() || n.member.Nodes() < 2 {
 		return false, ""
 	}
 	if _, leads := n.member.Leads(); leads && n.member.AllAlone() {
@@ -344,19 +348,6 @@
 	return true, ""
 }
 
-// isolated tells whether no peer was heard for a while.
-func (n *Node) isolated() bool {
-	if n.loop.Now()-n.began < 5*loop.Second {
-		return false
-	}
-	for _, label := range n.net.Peers() {
-		if n.loop.Now()-n.net.Known(label).Heard < 2500*loop.Millisecond {
-			return false
-		}
-	}
-	return len(n.net.Peers()) > 0
-}
-
 // mayStart: without state contact no new start is made, since a cancellation
 // may have been told meanwhile.
 func (n *Node) mayStart() bool { return n.member.Entitled() && n.contact() }
@@ -411,12 +402,17 @@
 	return base + max(grace, 0)
 }
 
-// coach names a peer that has state contact.
+// coach names a peer that has state contact: one that is trusted, if there is any. The
+// others too would do, but all workers would follow one that comes and goes.
 func (n *Node) coach() string {
-	best, least := "", 1<<30
+	best, least, trusted := "", 0, false
 	for _, label := range n.net.Peers() {
-		if s, fresh := n.freshPeer(label); fresh && s.Contact && s.Hosted < least {
-			best, least = label, s.Hosted
+		s, fresh := n.freshPeer(label)
+		if !fresh || !s.Contact {
+			continue
+		}
+		if fit := n.reach.Fit(label); best == "" || fit && !trusted || fit == trusted && s.Hosted < least {
+			best, least, trusted = label, s.Hosted, fit
 		}
 	}
 	return best
@@ -441,7 +437,13 @@
 }
 
 func (n *Node) status() {
-	s := &peer.Status{Wall: n.loop.Wall(), Contact: n.contact() && n.member.Entitled(), Hosted: n.agent.Hosted()}
+	n.reach.Look()
+	s := &peer.Status{Wall: n.loop.Wall(), Contact: n.contact() && n.member.Entitled(), Hosted: n.agent.Hosted(), Hears: []string{}}
+	for _, label := range n.net.Peers() {
+		if n.reach.Heard(label, reach.Fresh) {
+			s.Hears = append(s.Hears, label)
+		}
+	}
 	if !s.Contact {
 		s.NoContact = max(n.loop.Now()-n.client.Contact()-1500*loop.Millisecond, 0)
 	}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -29,6 +29,7 @@
 	Contact   bool        `cbor:"2,keyasint"` // the state service answers it
 	NoContact loop.Micros `cbor:"3,keyasint"` // for how long it has not been answered
 	Hosted    int         `cbor:"4,keyasint"`
+	Hears     []string    `cbor:"5,keyasint"` // peers that it hears; nil from versions that do not tell
 }
 
 // Want is a group of alike tasks that found no room, as part of an owner's tally.
