--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -22,6 +22,7 @@
 	// Patience is how long a call may take over all its tries.
 	Patience time.Duration
 	sleep    func(time.Duration)
+	now      func() time.Time
 }
 
 // Problem is an error that a controller answered with (RFC 9457).
@@ -46,7 +47,7 @@
 
 // New makes a client. Endpoints are HOST:PORT, separated by commas; the key may be empty.
 func New(endpoints, key string) (*Client, error) {
-	c := &Client{key: key, Patience: 15 * time.Second, sleep: time.Sleep, http: &fasthttp.Client{
+	c := &Client{key: key, Patience: 15 * time.Second, sleep: time.Sleep, now: time.Now, http: &fasthttp.Client{
 		MaxIdemponentCallAttempts: 1,
 		MaxResponseBodySize:       16 << 20,
 		NoDefaultUserAgentHeader:  true,
@@ -89,7 +90,7 @@
 			return err
 		}
 	}
-	end := time.Now().Add(c.Patience)
+	end := c.now().Add(c.Patience)
 	var last error
 	for {
 		wait := 500 * time.Millisecond
@@ -101,7 +102,7 @@
 			last = err
 			wait = max(wait, after)
 		}
-		if time.Now().Add(wait).After(end) {
+		if c.now().Add(wait).After(end) {
 			return last
 		}
 		c.sleep(wait)
--- a/internal/client/client_test.go
+++ b/internal/client/client_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -28,13 +29,23 @@
 	return ln.Addr().String()
 }
 
+// closed is an address that refuses connections for as long as the test runs. A port that
+// was listened on and closed is free to be had by the next endpoint of this very test,
+// which then was asked once before its turn.
 func closed(t *testing.T) string {
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer ln.Close()
-	return ln.Addr().String()
+	t.Cleanup(func() { syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	at, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return fmt.Sprint("127.0.0.1:", at.(*syscall.SockaddrInet4).Port)
 }
 
 func busy(after string) func(*fasthttp.RequestCtx) {
@@ -73,7 +84,12 @@
 			t.Fatal(err)
 		}
 		var waits []time.Duration
-		cl.sleep = func(d time.Duration) { waits = append(waits, d) }
+		now := time.Unix(0, 0)
+		cl.now = func() time.Time { return now }
+		cl.sleep = func(d time.Duration) {
+			waits = append(waits, d)
+			now = now.Add(d)
+		}
 		var out struct{ Auth string }
 		err = cl.Call("GET", "/v1/x", nil, &out)
 		if c.fails == "" && (err != nil || out.Auth != "Bearer secret") {
