--- a/internal/health/blame.go
+++ b/internal/health/blame.go
@@ -3,8 +3,6 @@
 package health
 
 import (
-	"math"
-
 	"cleatpick/internal/agent"
 	"cleatpick/internal/loop"
 	"cleatpick/internal/wire"
@@ -24,20 +22,19 @@
 
 // The thresholds.
 const (
-	// A task that failed speaks against its machine by so much: that of a job of which a
-	// task has completed somewhere, or of one of which nothing is known. Each job counts
-	// once, but a sound one that fails there in two separate moments counts twice.
-	soundWord, freshWord = 2, 1
-	// enough words put a machine at fault: two sound jobs, or four that are not known.
-	enough = 4
+	// A job whose tasks failed there speaks against a machine by so much: one of which a
+	// task has completed somewhere, one of which nothing is known, or one of which a task
+	// that failed there has completed elsewhere, which proves it alone.
+	soundWord, freshWord, proof = 2, 1, 6
+	// enough words put a machine at fault: three sound jobs, or six that are not known.
+	// Two were enough at first, and two jobs broken in some of their tasks do meet.
+	enough = 6
 	// othersToo is on how many other machines a job must have failed since it last
 	// completed a task for its failures to say nothing of a machine.
 	othersToo = 2
 	// BrokenOn is on how many machines that are not at fault a job must have failed,
 	// with no success since, to be called broken.
 	BrokenOn = 3
-	// oneMoment is for how long failures count as one.
-	oneMoment = 2 * loop.Second
 	// mostFailed bounds what is remembered of a job's failures.
 	mostFailed = 256
 )
@@ -51,18 +48,16 @@
 }
 
 // word is what a job's failures say against a machine: the tasks that failed there and
-// nowhere else, and when.
-type word map[string]span
-
-type span struct{ first, last loop.Micros }
+// nowhere else; true for one that completed elsewhere afterwards.
+type word map[string]bool
 
-// again tells whether tasks failed in separate moments.
-func (w word) again() bool {
-	first, last := loop.Micros(math.MaxInt64), loop.Micros(0)
-	for _, s := range w {
-		first, last = min(first, s.first), max(last, s.last)
+func (w word) proves() bool {
+	for _, done := range w {
+		if done {
+			return true
+		}
 	}
-	return last-first >= oneMoment
+	return false
 }
 
 // accuser is what is known of a job's tasks.
@@ -70,6 +65,9 @@
 	sound  bool                // a task of it has completed
 	on     map[string]struct{} // machines that it failed on since then
 	failed map[string]string   // machine on which each task failed last
+	// roams: a task of it failed on several machines. Some of the job's tasks cannot
+	// succeed, and which cannot be told from where they fail: it speaks against nobody.
+	roams bool
 }
 
 // NewBlame makes an empty judgement.
@@ -135,6 +133,13 @@
 	j := b.job(id)
 	j.sound = true
 	clear(j.on)
+	if was, ok := j.failed[task]; ok && was != machine {
+		if m := b.machines[was]; m != nil && m.words[id] != nil {
+			if _, stands := m.words[id][task]; stands {
+				m.words[id][task] = true
+			}
+		}
+	}
 	delete(j.failed, task)
 }
 
@@ -150,7 +155,7 @@
 	was, before := j.failed[task]
 	if before && was != machine {
 		// It fails wherever it runs, and says nothing of any machine.
-		j.failed[task] = anywhere
+		j.failed[task], j.roams = anywhere, true
 		b.takeBack(was, id, task)
 		return
 	}
@@ -162,12 +167,7 @@
 		w = word{}
 		m.words[id] = w
 	}
-	s, seen := w[task]
-	if !seen {
-		s.first = now
-	}
-	s.last = now
-	w[task] = s
+	w[task] = false
 	if now >= m.until && b.AtFault(machine) {
 		m.until = now + min(120*loop.Second, 15*loop.Second<<min(m.rests, 3))
 		m.rests++
@@ -204,11 +204,11 @@
 			others--
 		}
 		switch {
-		case others >= othersToo:
+		case w.proves():
+			words += proof
+		case others >= othersToo || j.roams:
 		case !j.sound:
 			words += freshWord
-		case w.again():
-			words += 2 * soundWord
 		default:
 			words += soundWord
 		}
--- a/internal/health/blame_test.go
+++ b/internal/health/blame_test.go
@@ -40,6 +40,11 @@
 	return slices.ContainsFunc(p, func(e ending) bool { return e.task == task && !e.ok && e.machine != machine })
 }
 
+// unclear tells whether any task of the job failed on several machines.
+func (p plainBlame) unclear(job string) bool {
+	return slices.ContainsFunc(p, func(e ending) bool { return e.job == job && !e.ok && p.roams(e.task, e.machine) })
+}
+
 func (p plainBlame) atFault(machine string) bool {
 	from := 0
 	for i, e := range p {
@@ -47,27 +52,27 @@
 			from = i + 1
 		}
 	}
-	times := map[string][]loop.Micros{}
+	proven := map[string]bool{} // jobs that failed there
 	for _, e := range p[from:] {
 		if e.machine == machine && !p.roams(e.task, machine) {
-			times[e.job] = append(times[e.job], e.at)
+			proven[e.job] = proven[e.job] || slices.ContainsFunc(p, func(o ending) bool { return o.task == e.task && o.ok && o.machine != machine })
 		}
 	}
 	words := 0
-	for job, at := range times {
+	for job, proof := range proven {
 		on, sound := p.failedOn(job)
 		others := len(slices.DeleteFunc(on, func(m string) bool { return m == machine }))
 		switch {
-		case others >= 2:
+		case proof:
+			words += 6
+		case others >= 2 || p.unclear(job):
 		case !sound:
 			words++
-		case at[len(at)-1]-at[0] >= 2*loop.Second:
-			words += 4
 		default:
 			words += 2
 		}
 	}
-	return words >= 4
+	return words >= 6
 }
 
 func (p plainBlame) against(job string) (n int) {
@@ -169,14 +174,16 @@
 			nil, map[string]int{"job-1": 3}},
 		{"three broken jobs on one machine that is well", [][]ending{fails(s, "a", "job-1", 0, 4), fails(s, "a", "job-2", 0, 4), fails(s, "a", "job-3", 0, 4)},
 			nil, map[string]int{"job-1": 1, "job-2": 1, "job-3": 1}},
-		{"a machine fails every task", [][]ending{ok(s, "b", "job-1", 0), ok(s, "b", "job-2", 0), fails(2*s, "a", "job-1", 1, 4), fails(3*s, "a", "job-2", 1, 4)},
-			[]string{"a"}, map[string]int{"job-1": 0, "job-2": 0}},
-		{"a machine fails one sound job's tasks again", [][]ending{ok(s, "b", "job-1", 0), fails(2*s, "a", "job-1", 1, 8), fails(5*s, "a", "job-1", 1, 2)},
+		{"a machine fails every task", [][]ending{ok(s, "b", "job-1", 0), ok(s, "b", "job-2", 0), ok(s, "b", "job-3", 0), fails(2*s, "a", "job-1", 1, 4), fails(3*s, "a", "job-2", 1, 4), fails(4*s, "a", "job-3", 1, 4)},
+			[]string{"a"}, map[string]int{"job-1": 0, "job-2": 0, "job-3": 0}},
+		{"a task that failed there completes elsewhere", [][]ending{fails(2*s, "a", "job-1", 1, 8), ok(5*s, "b", "job-1", 1), fails(6*s, "a", "job-1", 10, 1)},
 			[]string{"a"}, map[string]int{"job-1": 0}},
+		{"two jobs broken in some of their tasks", [][]ending{ok(s, "b", "job-1", 0), ok(s, "b", "job-2", 0), fails(2*s, "a", "job-1", 1, 3), fails(3*s, "a", "job-2", 1, 3), fails(9*s, "a", "job-1", 1, 3)},
+			nil, map[string]int{"job-1": 1, "job-2": 1}},
 		{"a new job on three machines that fail everything", [][]ending{ok(s, "x", "job-7", 0), ok(s, "x", "job-8", 0),
-			fails(2*s, "a", "job-7", 1, 2), fails(2*s, "a", "job-8", 1, 2), ok(3*s, "x", "job-7", 5), ok(3*s, "x", "job-8", 5),
-			fails(4*s, "b", "job-7", 10, 2), fails(4*s, "b", "job-8", 10, 2), ok(5*s, "x", "job-7", 6), ok(5*s, "x", "job-8", 6),
-			fails(6*s, "c", "job-7", 20, 2), fails(6*s, "c", "job-8", 20, 2),
+			ok(s, "x", "job-9", 0), fails(2*s, "a", "job-7", 1, 2), fails(2*s, "a", "job-8", 1, 2), fails(2*s, "a", "job-9", 1, 2), ok(3*s, "x", "job-7", 5), ok(3*s, "x", "job-8", 5), ok(3*s, "x", "job-9", 5),
+			fails(4*s, "b", "job-7", 10, 2), fails(4*s, "b", "job-8", 10, 2), fails(4*s, "b", "job-9", 10, 2), ok(5*s, "x", "job-7", 6), ok(5*s, "x", "job-8", 6), ok(5*s, "x", "job-9", 6),
+			fails(6*s, "c", "job-7", 20, 2), fails(6*s, "c", "job-8", 20, 2), fails(6*s, "c", "job-9", 20, 2),
 			fails(7*s, "a", "job-1", 0, 8), fails(7*s, "b", "job-1", 8, 8), fails(7*s, "c", "job-1", 16, 8)},
 			[]string{"a", "b", "c"}, map[string]int{"job-1": 0}},
 		{"a job broken in some of its tasks", [][]ending{ok(s, "a", "job-1", 0), fails(2*s, "a", "job-1", 1, 1), fails(4*s, "b", "job-1", 1, 1), ok(5*s, "b", "job-1", 2),
--- /dev/null
+++ b/internal/node/operators_test.go
@@ -0,0 +1,412 @@
+package node
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"cleatpick/internal/config"
+	"cleatpick/internal/gate"
+	"cleatpick/internal/job"
+	"cleatpick/internal/loop"
+)
+
+// What operators met: controllers that are silent for a minute and more or come and go,
+// cuts that take only a part of a node's ways, polls many times as often, visitors without
+// a guarantee, and jobs that were submitted with a mistake.
+
+// ways are all connections of a node: to peers and back, to workers, state and cloud.
+func (w *world) ways(label string) (out []string) {
+	for _, p := range w.labels {
+		if p != label {
+			out = append(out, label+">"+p, p+">"+label)
+		}
+	}
+	return append(out, label+">workers", label+">state", label+">cloud")
+}
+
+func (w *world) cutFor(d loop.Micros, mode cutMode, ways ...string) {
+	for _, x := range ways {
+		w.cut[x] = mode
+	}
+	w.at(d, func() {
+		for _, x := range ways {
+			delete(w.cut, x)
+		}
+	})
+}
+
+func (w *world) anyLabel() string { return w.labels[w.rng.IntN(len(w.labels))] }
+
+func (w *world) lostMode() cutMode { return []cutMode{dropping, holding}[w.rng.IntN(2)] }
+
+// flap lets a node come and go.
+func (w *world) flap(label string, until loop.Micros) {
+	if w.now >= until {
+		return
+	}
+	w.cutFor(w.between(4*loop.Second, 7*loop.Second), dropping, w.ways(label)...)
+	w.at(w.between(12*loop.Second, 16*loop.Second), func() { w.flap(label, until) })
+}
+
+// storm lets many users ask, each once, about jobs that are known, one job or unknown ones.
+func (w *world) storm(rate int, d loop.Micros) {
+	ids := make([]string, 0, len(w.jobs))
+	for id := range w.jobs {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	if w.rng.IntN(3) == 0 && len(ids) > 0 {
+		ids = ids[:1]
+	}
+	for k := range rate * int(d/loop.Second) {
+		w.at(loop.Micros(k)*loop.Second/loop.Micros(rate), func() {
+			s := w.door()
+			if s == nil {
+				return
+			}
+			if w.rng.IntN(4) == 0 || len(ids) == 0 {
+				id := fmt.Sprintf("job-9%05d", w.rng.IntN(1000))
+				s.enter(s.gen, func() {
+					s.n.book.Poll(id, func(a job.Answer) {
+						if a.Code == 200 || a.Code == 201 {
+							w.fail("invented: %s is called %q", id, a.Phase)
+						}
+					})
+				})
+				return
+			}
+			j := w.jobs[ids[w.rng.IntN(len(ids))]]
+			if !j.accepted {
+				return // its user has not been told yet, and would not ask
+			}
+			s.enter(s.gen, func() { s.n.book.Poll(j.id, func(a job.Answer) { w.told(j, a) }) })
+		})
+	}
+}
+
+// guest lets the visiting team submit jobs of its own; the numbers begin at from.
+func (w *world) guest(from, jobs, tasks int, every loop.Micros) {
+	for i := range jobs {
+		w.at(loop.Micros(i)*every, func() {
+			w.enter(&simJob{id: fmt.Sprintf("job-%06d", from+i), run: w.between(loop.Second, 4*loop.Second),
+				spec: &job.Spec{Class: "visit", Team: "guest", Priority: job.Low, Tasks: tasks, CPUs: 0.25, MemoryGB: 0.45, Image: "v", ImageGB: 1, AnyType: true, Spot: true, Estimate: 3 * loop.Second}})
+		})
+	}
+}
+
+// mistaken lets jobs come that fail wherever they run: at once or late, in all tasks or some.
+func (w *world) mistaken(from, n int) {
+	for i := range n {
+		j := w.makeJob(from + i)
+		j.broken, j.failsIn = true, []loop.Micros{0, 0, w.between(2*loop.Second, 60*loop.Second)}[w.rng.IntN(3)]
+		if w.rng.IntN(3) == 0 {
+			j.every = 2 + w.rng.IntN(3)
+		}
+		j.spec.Tasks = 1 + w.rng.IntN(33)
+		w.jobs[j.id] = j
+		w.submit(j)
+		w.at(3*loop.Second, func() { w.poll(j) })
+		w.at(w.between(10*loop.Second, 90*loop.Second), func() { w.withdraw(j) })
+	}
+}
+
+var met = []struct {
+	name string
+	do   func(w *world)
+}{
+	{"silence", func(w *world) {
+		n := 1 + w.rng.IntN(max(len(w.labels)-1, 1))
+		for _, k := range w.rng.Perm(len(w.labels))[:n] {
+			w.cutFor(w.between(60*loop.Second, 80*loop.Second), w.lostMode(), w.ways(w.labels[k])...)
+		}
+	}},
+	{"flapping", func(w *world) { w.flap(w.anyLabel(), w.now+w.between(40*loop.Second, 90*loop.Second)) }},
+	{"workers but not state", func(w *world) {
+		l := w.anyLabel()
+		w.cutFor(w.between(10*loop.Second, 50*loop.Second), w.lostMode(), l+">state")
+	}},
+	{"state but not workers", func(w *world) {
+		l := w.anyLabel()
+		w.cutFor(w.between(10*loop.Second, 50*loop.Second), w.lostMode(), l+">workers")
+	}},
+	{"refused by state", func(w *world) {
+		w.cutFor(w.between(10*loop.Second, 50*loop.Second), refusing, w.anyLabel()+">state")
+	}},
+	{"one way", func(w *world) {
+		l, ways := w.anyLabel(), []string{}
+		for _, p := range w.labels {
+			if p != l && w.rng.IntN(3) > 0 {
+				ways = append(ways, []string{l + ">" + p, p + ">" + l}[w.rng.IntN(2)])
+			}
+		}
+		w.cutFor(w.between(10*loop.Second, 60*loop.Second), w.lostMode(), ways...)
+	}},
+	{"poll storm", func(w *world) { w.storm(40+w.rng.IntN(160), w.between(10*loop.Second, 30*loop.Second)) }},
+	{"storm at an outage's end", func(w *world) {
+		w.state.SetDown(true)
+		w.at(w.between(5*loop.Second, 15*loop.Second), func() {
+			w.state.SetDown(false)
+			w.storm(200, 15*loop.Second)
+		})
+	}},
+	{"mistaken jobs", func(w *world) { w.mistaken(700000+w.seq%90000, 1+w.rng.IntN(4)) }},
+}
+
+// checkHealth looks for machines that rest for failing tasks although they are well.
+func (w *world) checkHealth() {
+	for _, l := range w.labels {
+		s := w.nodes[l]
+		if !s.alive || s.frozen {
+			continue
+		}
+		s.n.placer.Places(func(p *gate.Place, _ loop.Micros) {
+			if x := w.workers[p.V.Name]; p.Shut > w.now && p.ShutWhy == "tasks fail on it" && x != nil && !x.w.Faulty {
+				w.fail("%s rests for failing tasks, and is well", p.V.Name)
+			}
+		})
+	}
+	w.at(loop.Second, w.checkHealth)
+}
+
+// halfServed checks that no class and no team has fewer than half of its jobs done, of
+// those that could be and that their users did not cancel.
+func (w *world) halfServed() {
+	w.t.Helper()
+	all, done := map[string]int{}, map[string]int{}
+	for _, j := range w.jobs {
+		if j.asked || j.broken {
+			continue
+		}
+		for _, of := range []string{"class " + j.spec.Class, "team " + j.spec.Team} {
+			all[of]++
+			if j.done {
+				done[of]++
+			}
+		}
+	}
+	for of, n := range all {
+		if 2*done[of] < n {
+			w.t.Errorf("%s: %d of %d jobs are done", of, done[of], n)
+		}
+	}
+}
+
+// metWorld is a deployment with a visiting team.
+func metWorld(t testing.TB, seed uint64, z size, teams int) *world {
+	w := newWorldOf(t, seed, z, func(c *config.Config) {
+		n := float64(z.zones * z.each * 8)
+		c.Cluster.Teams = []config.Team{{Name: "red", CPUs: n / 5, CPUsMax: max(n/3, 8)}, {Name: "blue", CPUs: n / 8, CPUsMax: max(n/2, 8)}, {Name: "guest"}}
+		for i := range teams {
+			c.Cluster.Teams = append(c.Cluster.Teams, config.Team{Name: fmt.Sprint("idle", i), CPUs: 3 * n, CPUsMax: 3 * n}) // beyond the whole fleet
+		}
+	})
+	w.at(0, w.live)
+	w.at(0, w.checkCancelled)
+	w.at(0, w.checkBeliefs)
+	w.at(0, w.checkHealth)
+	return w
+}
+
+// What operators met, alone and in pairs, and beside what makes many fall together: no rule
+// breaks, everything that could run is done at the end, no class and no team is under half,
+// and no machine that is well rests for the mistakes of jobs.
+func TestRulesThatOperatorsMet(t *testing.T) {
+	from, to := seeds(t, 1, 10)
+	for seed := from; seed <= to; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			r := rand.New(rand.NewPCG(seed, 17))
+			z := drawSize(r)
+			w := metWorld(t, seed, z, r.IntN(6))
+			if r.IntN(4) == 0 { // the visiting team is brought in node by node
+				w.settings = func(label string, c *config.Config) {
+					if w.now < 3640*loop.Second && label != w.labels[0] {
+						c.Cluster.Teams = slices.DeleteFunc(slices.Clone(c.Cluster.Teams), func(x config.Team) bool { return x.Name == "guest" })
+					}
+				}
+				for i, l := range w.labels[1:] {
+					w.at(45*loop.Second+loop.Micros(i)*6*loop.Second, func() { w.kill(l) })
+				}
+			}
+			for i := range 25 + z.zones*z.each/4 {
+				w.at(w.between(loop.Second, 120*loop.Second), func() { w.addJob(i) })
+			}
+			w.at(w.between(10*loop.Second, 60*loop.Second), func() {
+				switch large := z.zones * z.each * 40; r.IntN(4) {
+				case 0:
+					w.guest(800000, 1, min(large, 25000), 0)
+				case 1:
+					w.guest(800000, 100, 1, 100*loop.Millisecond)
+				default:
+					w.guest(800000, 2, 20, loop.Second)
+				}
+			})
+			w.at(5*loop.Second, func() { w.mistaken(600000, 1+r.IntN(3)) })
+			troubles := append(slices.Clone(met), together...)
+			var strike func()
+			strike = func() {
+				troubles[r.IntN(len(met))].do(w)
+				if r.IntN(2) == 0 {
+					second := troubles[r.IntN(len(troubles))]
+					w.at(w.between(0, 5*loop.Second), func() { second.do(w) })
+				}
+				w.at(w.between(10*loop.Second, 40*loop.Second), func() {
+					if w.now < 3600*loop.Second+130*loop.Second {
+						strike()
+					}
+				})
+			}
+			w.at(15*loop.Second, strike)
+			w.run(3600*loop.Second + 700*loop.Second)
+			w.settled(20)
+			w.halfServed()
+		})
+	}
+}
+
+// Each hard case by itself, at a fixed size.
+func TestOperatorsHardCases(t *testing.T) {
+	const second = loop.Second
+	usual := size{nodes: 3, zones: 2, each: 8}
+	for _, c := range []struct {
+		name  string
+		teams int
+		do    func(w *world)
+	}{
+		{"two of three are silent for 70 s, and one is back while the other is cut from state", 0, func(w *world) {
+			w.cutFor(70*second, dropping, w.ways("a")...)
+			w.cutFor(70*second, dropping, w.ways("b")...)
+			w.at(70*second+1, func() { w.cutFor(40*second, dropping, "b>state") })
+		}},
+		{"a silence ends as its teams' claims are taken", 0, func(w *world) {
+			for _, l := range w.labels {
+				w.nodes[l].after("c/t/", func() {
+					for _, o := range w.labels {
+						if o != l {
+							for _, x := range w.ways(o) {
+								delete(w.cut, x)
+							}
+						}
+					}
+				})
+			}
+			w.cutFor(70*second, holding, w.ways(w.leader())...)
+		}},
+		{"polls storm as an outage ends", 0, func(w *world) {
+			w.state.SetDown(true)
+			w.at(12*second, func() { w.state.SetDown(false); w.storm(250, 20*second) })
+		}},
+		{"a visitor's 3,000 tasks at an owner that dies while it records them", 0, func(w *world) {
+			w.guest(800000, 1, 3000, 0)
+			w.at(2*second, func() {
+				for _, l := range w.labels {
+					w.nodes[l].after("x/guest", func() { w.kill(l) })
+				}
+			})
+		}},
+		{"more teams than nodes, and guarantees beyond the fleet", 7, func(w *world) { w.flap("b", w.now+60*second) }},
+		{"broken jobs beside machines that fail every task", 0, func(w *world) {
+			for _, name := range w.some(0.2) {
+				w.workers[name].w.Faulty = true
+			}
+			w.mistaken(600000, 5)
+		}},
+		{"a broken job takes a minute to fail, and is withdrawn while it is tried", 0, func(w *world) {
+			j := w.makeJob(600000)
+			j.broken, j.failsIn, j.spec.Tasks = true, 60*second, 12
+			w.jobs[j.id] = j
+			w.submit(j)
+			w.at(65*second, func() { w.withdraw(j) })
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			w := metWorld(t, 7, usual, c.teams)
+			for i := range 50 {
+				w.at(w.between(second, 100*second), func() { w.addJob(i) })
+			}
+			done := false
+			w.at(35*second, func() { c.do(w); done = true })
+			w.run(3600*second + 600*second)
+			w.settled(50)
+			w.halfServed()
+			if !done {
+				t.Error("nothing was brought about")
+			}
+		})
+	}
+}
+
+// A silent node's teams are with others, and its workers too, within the stated time: its
+// lease and what ending it late may take, the longest wait of a claim, and a look; a worker
+// waits for 4 s and another second for each node that is silent.
+func TestSilenceByArithmetic(t *testing.T) {
+	const second = loop.Second
+	w := metWorld(t, 11, size{nodes: 3, zones: 2, each: 20}, 0)
+	for i := range 60 {
+		w.at(w.between(second, 30*second), func() { w.addJob(i) })
+	}
+	w.run(3640 * second)
+	silent := w.leader()
+	lease := loop.Seconds(w.cfg.Operator.NodeLeaseS)
+	var mine []string
+	for _, x := range w.cfg.Cluster.Teams {
+		if o, _ := w.nodes[silent].n.member.TeamOwner(x.Name); o.Node == silent {
+			mine = append(mine, x.Name)
+		}
+	}
+	w.cutFor(70*second, dropping, w.ways(silent)...)
+	w.run(w.now + lease + 100*loop.Millisecond + 1200*loop.Millisecond + 600*loop.Millisecond)
+	for _, l := range w.labels {
+		if l == silent {
+			continue
+		}
+		for _, team := range mine {
+			if o, ok := w.nodes[l].n.member.TeamOwner(team); !ok || o.Node == silent {
+				t.Errorf("to %s, %s is still owned by %q", l, team, o.Node)
+			}
+		}
+	}
+	w.run(w.now + 5*second)
+	hosted := 0
+	for _, l := range w.labels {
+		if l != silent {
+			hosted += w.nodes[l].n.agent.Hosted()
+		}
+	}
+	if n := len(w.present()); hosted < n {
+		t.Errorf("%d of %d machines have a host that is heard", hosted, n)
+	}
+	if w.nodes[silent].n.member.Entitled() {
+		t.Error("the silent node believes in its lease")
+	}
+}
+
+// A node that comes and goes does not take its teams back each time, and does once it has
+// been good for a while.
+func TestFlappingNodeDoesNotTakeItsTeamsEachTime(t *testing.T) {
+	const second = loop.Second
+	w := metWorld(t, 13, size{nodes: 3, zones: 2, each: 6}, 3)
+	owns := func() (n int) {
+		for _, x := range w.cfg.Cluster.Teams {
+			if o, _ := w.nodes["a"].n.member.TeamOwner(x.Name); o.Node == "c" {
+				n++
+			}
+		}
+		return n
+	}
+	w.run(3630 * second)
+	for round := range 8 {
+		w.cutFor(6*second, dropping, w.ways("c")...)
+		w.run(w.now + 20*second) // silent for 6 s, back for 14
+		if n := owns(); round > 0 && n > 0 {
+			t.Errorf("round %d: c comes and goes, and owns %d teams", round, n)
+		}
+	}
+	w.run(w.now + 60*second)
+	if owns() == 0 {
+		t.Error("after a minute of good behaviour c owns nothing")
+	}
+}
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -74,6 +74,8 @@
 	zones   []string           // of the machines; nodes stand in them in turn
 	zoneCut map[string]cutMode // zones that are cut off from all others
 	cost    cost
+	// settings changes the settings of one node, as while they are brought in; may be nil.
+	settings func(label string, c *config.Config)
 }
 
 // cost is what the nodes' own code takes, told from the world around it.
@@ -96,7 +98,8 @@
 const (
 	open cutMode = iota
 	dropping
-	holding // delivered when the cut ends
+	holding  // delivered when the cut ends
+	refusing // answered 503 at once; only the state service does that
 )
 
 type simNode struct {
@@ -138,6 +141,8 @@
 	spec      *job.Spec
 	run       loop.Micros
 	broken    bool
+	every     int // of a broken job, only each so manieth task fails
+	failsIn   loop.Micros
 	accepted  bool
 	done      bool
 	withdrawn loop.Micros
@@ -230,6 +235,8 @@
 	switch mode {
 	case dropping:
 		return store.Response{Err: errLost}
+	case refusing:
+		return store.Response{Status: 503}
 	case holding:
 		w.at(w.between(loop.Second, 40*loop.Second), func() { f() }) // late, with nobody listening
 		return store.Response{Err: errLost}
@@ -325,6 +332,9 @@
 			cfg.Known = append(cfg.Known, config.Peer{Label: p, Site: w.nodes[p].zone, Endpoint: p + ":1"})
 		}
 	}
+	if w.settings != nil {
+		w.settings(label, &cfg)
+	}
 	r := runner{w, s, s.gen}
 	state := link{w, label + ">state", func(m, p string, b []byte) store.Response {
 		resp := w.state.Do(m, p, b, 0)
@@ -416,7 +426,7 @@
 		if j == nil {
 			return standin.Job{}, false
 		}
-		return standin.Job{CPUs: j.spec.CPUs, MemoryGB: j.spec.MemoryGB, Run: j.run, Tasks: j.spec.Tasks, Broken: j.broken}, true
+		return standin.Job{CPUs: j.spec.CPUs, MemoryGB: j.spec.MemoryGB, Run: j.run, Tasks: j.spec.Tasks, Broken: j.broken, Every: j.every, FailsAfter: j.failsIn}, true
 	}
 	x.w.Began = func(task, _ string) { w.began(x, task) }
 	x.w.Left = func(task, why string) { w.left(task, why) }
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -1,6 +1,8 @@
 package standin
 
 import (
+	"strconv"
+
 	"cleatpick/internal/loop"
 	"cleatpick/internal/wire"
 )
@@ -11,6 +13,14 @@
 	Run            loop.Micros
 	Tasks          int
 	Broken         bool // fails on every machine
+	Every          int  // of a broken job, only each so manieth task fails; 0: all do
+	FailsAfter     loop.Micros
+}
+
+// fails tells whether the task fails wherever it runs.
+func (j *Job) fails(task string) bool {
+	no, _ := strconv.Atoi(task[len(jobOf(task))+1:])
+	return j.Broken && (j.Every == 0 || no%j.Every == 0)
 }
 
 type workerTask struct {
@@ -19,6 +29,7 @@
 	state   string
 	why     string
 	until   loop.Micros // when the present state ends
+	fails   bool        // it ends in an error then
 }
 
 // Worker is one machine.
@@ -67,9 +78,18 @@
 		if t.state == wire.TaskFetching {
 			j, _ := w.Job(jobOf(t.task))
 			t.state, t.until = wire.TaskRunning, now+j.Run
-			if w.Faulty || j.Broken {
-				w.end(t, wire.WhyError)
+			if w.Faulty || j.fails(t.task) {
+				t.fails, t.until = true, now
+				if !w.Faulty {
+					t.until += j.FailsAfter
+				}
+			}
+			if !t.fails || t.until > now {
+				continue
 			}
+		}
+		if t.fails {
+			w.end(t, wire.WhyError)
 			continue
 		}
 		w.end(t, wire.WhyDone)
