Urgent work goes to its image where what is stopped loses less than the fetch

Change: where an urgent task finds room only without its image, work is stopped on a machine that has it, if that loses less than three times what the fetch takes. The task waits for that room for 1.5 s at most, takes no other meanwhile and is no miss.

--- a/internal/fleet/stop.go
+++ b/internal/fleet/stop.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"container/heap"
+	"math"
 	"slices"
 
 	"cleatpick/internal/agent"
@@ -207,11 +208,60 @@
 	return false
 }
 
+// claimLife is how long room that is being made is kept; atImageLife is the same where
+// other room is there meanwhile.
+const (
+	claimLife   = 4 * loop.Second
+	atImageLife = 1500 * loop.Millisecond
+)
+
 // Preempt makes room for the waiting tasks of a job that found none, and tells where: a
-// claim for each. excess is what each team runs beyond its guarantee. Machines are gone
-// through once, until there is enough to choose from; only the one that was chosen is
-// looked at again.
+// claim for each. excess is what each team runs beyond its guarantee.
 func (f *Fleet) Preempt(need *gate.Need, want int, within bool, excess map[string]float64) (claims []peer.Claim) {
+	return f.preempt(need, want, within, excess, math.Inf(1), claimLife, func(*Slot) bool { return true })
+}
+
+// PreemptAtImage makes room for an urgent job's tasks on machines that have its image,
+// though others have room: there the tasks would wait for the fetch. It stops only work
+// of which it loses less than the fetch would cost, so that nothing is wasted by it.
+func (f *Fleet) PreemptAtImage(need *gate.Need, want int) []peer.Claim {
+	rate := math.Inf(1)
+	for _, sl := range f.order {
+		if sl.typ.FetchGBs > 0 {
+			rate = min(rate, sl.typ.FetchGBs)
+		}
+	}
+	most := fetchWorth * need.Spec.ImageGB / rate * need.Spec.CPUs
+	return f.preempt(need, want, false, map[string]float64{}, most, atImageLife, func(sl *Slot) bool { return sl.Runs.HasImage(need.Spec.Image) })
+}
+
+// fetchWorth is how many times what a fetch takes may be lost to avoid it: an urgent task
+// holds its own room for the fetch, and its users wait for as long.
+const fetchWorth = 3
+
+// AtImage is how many of n tasks of the job find room on machines that have its image.
+func (f *Fleet) AtImage(need gate.Need, n int, slots []*Slot) int {
+	var there []*Slot
+	for _, sl := range slots {
+		if sl.Runs.HasImage(need.Spec.Image) {
+			there = append(there, sl)
+		}
+	}
+	if len(there) == 0 {
+		return 0
+	}
+	return f.Trial(need, n, there)
+}
+
+// Claimed tells whether room is kept on the machine for the job.
+func (sl *Slot) Claimed(id string) bool {
+	return slices.ContainsFunc(sl.Claims, func(c gate.Claim) bool { return c.Job == id })
+}
+
+// preempt goes through the machines that are of use once, until there is enough to choose
+// from; only the one that was chosen is looked at again. Each claim costs at most so many
+// CPU seconds.
+func (f *Fleet) preempt(need *gate.Need, want int, within bool, excess map[string]float64, most float64, life loop.Micros, of func(*Slot) bool) (claims []peer.Claim) {
 	s := need.Spec
 	now := f.r.Now()
 	after := now - f.n.StaleAfter
@@ -222,10 +272,10 @@
 	for k := 0; k < len(f.order) && len(all) < choices*(want+8); k++ {
 		f.from = (f.from + 1) % len(f.order)
 		sl := f.order[f.from]
-		if (sl.lowest >= s.Priority && !borrowed) || !sl.Open(after, now) {
+		if (sl.lowest >= s.Priority && !borrowed) || !of(sl) || !sl.Open(after, now) {
 			continue // nothing there gives way
 		}
-		if o, ok := f.optionOn(need, sl, now, within, excess); ok {
+		if o, ok := f.optionOn(need, sl, now, within, excess); ok && o.cost <= most {
 			all = append(all, o)
 		}
 	}
@@ -235,7 +285,7 @@
 		best := all[0]
 		// What was stopped since for this job may have used up another team's excess.
 		o, ok := f.optionOn(need, best.sl, now, within, excess)
-		if !ok {
+		if !ok || o.cost > most {
 			heap.Pop(&all)
 			continue
 		}
@@ -257,7 +307,7 @@
 		o.sl.Room.Take(s)
 		f.Touch(o.sl)
 		c := peer.Claim{Machine: o.sl.V.Name, Job: need.ID, Priority: int(s.Priority), CPUs: s.CPUs, GPUs: s.GPUs, MemoryGB: s.MemoryGB,
-			Until: f.r.Wall() + wait + 4*loop.Second}
+			Until: f.r.Wall() + wait + life}
 		for _, y := range o.set {
 			c.Victims = append(c.Victims, y.task.Task)
 		}
--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -107,6 +107,9 @@
 		}
 		sh, free := fleet.ShapeOf(s)
 		if n := min(probe, facts.Passes(gate.Limit)); n > 0 && (!full[sh] || p.fleet.Held(t.j.ID) > 0) {
+			if stops && !full[sh] && s.Priority >= job.High && !s.Gang {
+				p.goToImage(t, n, open, &b)
+			}
 			got := p.fill(t, n, open, &chosen)
 			probe -= got
 			if got < n && free && p.fleet.Held(t.j.ID) == 0 {
@@ -114,6 +117,9 @@
 			}
 		}
 		missed := p.missed(t)
+		if s.Priority >= job.High && !full[sh] {
+			missed = max(missed-p.fleet.Held(t.j.ID), 0) // there is room; it waits for a better one
+		}
 		p.setShort(t, missed > 0 && probe > 0 || s.Gang && missed > 0)
 		if missed <= 0 || probe <= 0 {
 			t.missing = 0
@@ -216,14 +222,38 @@
 	}
 }
 
+// goToImage lets urgent tasks that would find room, but not where their image is, go
+// there: a fetch takes longer than it takes to stop what has just begun.
+func (p *Placer) goToImage(t *table, n int, open []*fleet.Slot, b *budget) {
+	need := t.need()
+	short := min(n-p.fleet.AtImage(need, n, open)-p.fleet.Held(t.j.ID), b.left)
+	if short <= 0 {
+		return
+	}
+	claims := p.fleet.PreemptAtImage(&need, short)
+	p.claimed(claims)
+	b.left -= len(claims)
+}
+
 // fill places up to n waiting tasks of a job and tells how many found room.
 func (p *Placer) fill(t *table, n int, free []*fleet.Slot, chosen *[]hostStart) int {
 	s, got, need := t.j.Spec, 0, t.need()
 	if s.CPUs <= 0 {
 		free = p.fleet.All()
 	}
+	// Urgent tasks for which room is being made wait for it, and take no other.
+	elsewhere := n
+	if s.Priority >= job.High {
+		elsewhere = n - p.fleet.Held(t.j.ID)
+	}
 	for _, sl := range p.fleet.Ranked(&need, free) {
 		for got < n && sl.Takes(&need) {
+			if !sl.Claimed(t.j.ID) {
+				if elsewhere <= 0 {
+					break
+				}
+				elsewhere--
+			}
 			i := t.pop()
 			x := t.task(i)
 			x.attempt++
