A node that goes silent, or an outage, makes no other node flap; silence is told

Found by a test that operators are told which node is damped: when one node went silent the others found it so up to 4 s apart, called each other partial meanwhile, and were damped. Change: lacking a node that this one hears must last for 4 s, and contact lost while this node has none either is no flap. Explanations say which owner is silent or one way, and which node gets no work for how long since it came and went.

--- a/internal/node/explain.go
+++ b/internal/node/explain.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -13,6 +14,7 @@
 	"cleatpick/internal/job"
 	"cleatpick/internal/loop"
 	"cleatpick/internal/peer"
+	"cleatpick/internal/reach"
 	"cleatpick/internal/wire"
 )
 
@@ -128,16 +130,34 @@
 	for _, t := range n.cfg.Cluster.Teams {
 		o, ok := n.member.TeamOwner(t.Name)
 		if !ok {
-			out = append(out, "the team "+t.Name+" has no owner")
+			out = append(out, "the team "+t.Name+" has no owner"+n.damped())
 		} else if o.Node != n.cfg.Label {
-			if _, fresh := n.freshPeer(o.Node); !fresh {
-				out = append(out, "the owner "+o.Node+" of the team "+t.Name+" was not heard lately")
+			switch n.reach.State(o.Node) {
+			case reach.Silent:
+				out = append(out, "the owner "+o.Node+" of the team "+t.Name+" is silent; others take the team over once its lease is over")
+			case reach.OneWay:
+				out = append(out, "the owner "+o.Node+" of the team "+t.Name+" does not hear this node")
 			}
 		}
 	}
 	return out
 }
 
+// damped names the nodes that are there and get no work yet, since they came and went.
+func (n *Node) damped() string {
+	var out []string
+	for _, label := range n.net.Peers() {
+		if d := n.reach.Damped(label); d > 0 {
+			out = append(out, fmt.Sprintf("%s gets no work for another %d s, since it came and went", label, (d+loop.Second-1)/loop.Second))
+		}
+	}
+	if len(out) == 0 {
+		return ""
+	}
+	slices.Sort(out)
+	return " (" + strings.Join(out, "; ") + ")"
+}
+
 // machines lists all machines heard, by name.
 func (n *Node) machines() []api.Machine {
 	var out []api.Machine
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -117,6 +117,7 @@
 	n.cordons = cordon.NewBook(l, n.client, n.mirror, log, loop.Micros(cfg.Cluster.ClockOffMS*2000))
 	n.net = peer.New(l, log, cfg.Label, cfg.Known)
 	n.reach = reach.New(l, log, cfg.Label, n.net.Peers(), loop.Micros(cfg.Cluster.ClockOffMS*2000))
+	n.reach.Contact = n.contact
 	n.reach.Changed = func(_ string, to reach.State, damped bool) { n.meter.Peer(to.String(), damped) }
 	n.agent = agent.New(l, log, agent.Host{
 		Label:     cfg.Label,
--- a/internal/node/operators_test.go
+++ b/internal/node/operators_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 
 	"cleatpick/internal/config"
@@ -410,3 +411,34 @@
 		t.Error("after a minute of good behaviour c owns nothing")
 	}
 }
+
+// Operators are told which owner is silent and which node gets no work yet, and why.
+func TestSilenceIsTold(t *testing.T) {
+	const second = loop.Second
+	w := metWorld(t, 17, size{nodes: 3, zones: 2, each: 4}, 0)
+	w.run(3620 * second)
+	if told := w.nodes["a"].n.unheard(); len(told) > 0 {
+		t.Errorf("while all is well: %q", told)
+	}
+	var team string
+	for _, x := range w.cfg.Cluster.Teams {
+		if o, _ := w.nodes["a"].n.member.TeamOwner(x.Name); o.Node != "a" {
+			team = x.Name
+			w.cutFor(40*second, dropping, w.ways(o.Node)...)
+			w.run(w.now + 3*second)
+			if told, want := w.nodes["a"].n.unheard(), "the owner "+o.Node+" of the team "+team+" is silent; others take the team over once its lease is over"; !slices.Contains(told, want) {
+				t.Errorf("3 s later it is told: %q, want %q", told, want)
+			}
+			w.run(w.now + 50*second)
+			w.cutFor(6*second, dropping, w.ways(o.Node)...)
+			w.run(w.now + 9*second)
+			if got, want := w.nodes["a"].n.damped(), " ("+o.Node+" gets no work for another "; !strings.HasPrefix(got, want) {
+				t.Errorf("of a node that came and went it is told: %q", got)
+			}
+			break
+		}
+	}
+	if team == "" {
+		t.Fatal("a owns all teams")
+	}
+}
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -35,6 +35,9 @@
 	// brokenFor is for how long what is known of this node itself must hold before it acts
 	// on it: a peer that began anew hears nobody for a moment.
 	brokenFor = 3 * loop.Second
+	// skew is by how much later than this node another may find a third one silent, or heard
+	// again. Without it, one node that went silent made all others flap.
+	skew = Fresh + 1500*loop.Millisecond
 	// A peer that was whole and is not any more has flapped. After the first time it is
 	// trusted as soon as it is whole again; after more, once it was whole for damping,
 	// doubled each time up to dampedTimes. Being whole for goodFor makes up for all.
@@ -55,6 +58,7 @@
 	heard loop.Micros // steady time; 0: never
 	state State
 	since loop.Micros // of the state
+	lacks loop.Micros // since when it does not hear a node that this one hears; 0: it hears all
 	flaps int
 }
 
@@ -69,6 +73,9 @@
 	// Since when this node hears no peer both ways, and since when a peer that others hear
 	// does not hear it, or is not heard; 0: not so.
 	alone, broken loop.Micros
+	// Contact tells whether the state service answers this node: where it answers nobody,
+	// that is no peer's fault. It may be nil.
+	Contact func() bool
 	// Changed is called for every change of a peer's state; it may be nil.
 	Changed func(peer string, to State, damped bool)
 }
@@ -87,7 +94,7 @@
 	if p.state == s {
 		return
 	}
-	if p.state == Whole {
+	if p.state == Whole && (s != Partial || j.Contact == nil || j.Contact()) {
 		p.flaps++
 	}
 	from := p.state
@@ -122,6 +129,7 @@
 	now := j.r.Now()
 	alone, broken := true, false
 	for label, p := range j.peers {
+		j.compare(label, p, now)
 		s := j.judge(label, p, now)
 		j.setState(label, p, s, now)
 		if p.state == Whole && now-p.since >= goodFor {
@@ -155,14 +163,25 @@
 	case !p.word.Contact:
 		return Partial
 	}
-	for other, o := range j.peers {
-		if other != label && j.fresh(o, now) && !slices.Contains(p.word.Hears, other) {
-			return Partial
-		}
+	if p.lacks != 0 && now-p.lacks >= skew {
+		return Partial
 	}
 	return Whole
 }
 
+// compare notes since when a peer does not hear a node that this one hears.
+func (j *Judge) compare(label string, p *peer, now loop.Micros) {
+	lacks := false
+	for other, o := range j.peers {
+		lacks = lacks || other != label && j.fresh(o, now) && p.word.Hears != nil && !slices.Contains(p.word.Hears, other)
+	}
+	if !lacks {
+		p.lacks = 0
+	} else if p.lacks == 0 {
+		p.lacks = now
+	}
+}
+
 // others tells whether a peer that hears this node hears that one too: then it lives, and
 // the way between it and this node is broken.
 func (j *Judge) others(label string, now loop.Micros) bool {
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -154,6 +154,30 @@
 	}
 }
 
+// A node that goes silent, and an outage of the state service, are no fault of the others.
+func TestOthersDoNotFlap(t *testing.T) {
+	x := newNet(4)
+	x.judges["a"].Contact = func() bool { return x.contact["a"] }
+	x.Run(5 * loop.Second)
+	for round := range 4 {
+		for way := range x.open {
+			if way[0] == 'd' || way[2] == 'd' {
+				x.open[way] = round%2 == 1
+			}
+		}
+		for _, n := range x.names {
+			x.contact[n] = round%2 == 1
+		}
+		x.Run(9 * loop.Second)
+	}
+	x.Run(3 * loop.Second)
+	for _, n := range []string{"b", "c"} {
+		if j := x.judges["a"]; !j.Fit(n) || j.peers[n].flaps > 0 {
+			t.Errorf("%s is fit: %v, after %d flaps", n, j.Fit(n), j.peers[n].flaps)
+		}
+	}
+}
+
 // A word that was held back on its way says nothing of now.
 func TestOldWordsAreNotFresh(t *testing.T) {
 	x := newNet(2)
