--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -60,6 +60,7 @@
 	since loop.Micros // of the state
 	lacks loop.Micros // since when it does not hear a node that this one hears; 0: it hears all
 	flaps int
+	fell  loop.Micros // when the newest flap was counted
 }
 
 // Judge follows all peers of one node.
@@ -94,8 +95,11 @@
 	if p.state == s {
 		return
 	}
-	if p.state == Whole && (s != Partial || j.Contact == nil || j.Contact()) {
+	if p.state == Whole && now-p.fell >= skew && (s != Partial || j.Contact == nil || j.Contact()) {
+		// Once for a moment: to a node that stood still itself, what queued up meanwhile
+		// shows each peer come and go several times.
 		p.flaps++
+		p.fell = now
 	}
 	from := p.state
 	p.state, p.since = s, now
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -170,7 +170,16 @@
 		}
 		x.Run(9 * loop.Second)
 	}
+	// A node that stood still finds old words of all lengths in its queue.
+	for _, hears := range [][]string{{}, {"a", "c", "d"}, {}, {"a", "c", "d"}} {
+		x.Run(10 * loop.Millisecond)
+		x.judges["a"].Hear("b", Word{Wall: x.Now(), Contact: true, Hears: hears})
+	}
 	x.Run(3 * loop.Second)
+	if n := x.judges["a"].peers["b"].flaps; n > 1 {
+		t.Errorf("%d flaps by what queued up", n)
+	}
+	x.Run(goodFor)
 	for _, n := range []string{"b", "c"} {
 		if j := x.judges["a"]; !j.Fit(n) || j.peers[n].flaps > 0 {
 			t.Errorf("%s is fit: %v, after %d flaps", n, j.Fit(n), j.peers[n].flaps)
