--- a/internal/node/operators_test.go
+++ b/internal/node/operators_test.go
@@ -340,6 +340,29 @@
 	}
 }
 
+// A visitor's 25,000 tasks, with the owner killed again and again while it records them:
+// each runs, none twice, and the others' jobs are done beside it.
+func TestLargestVisitorAtOwnersThatDie(t *testing.T) {
+	const second = loop.Second
+	w := metWorld(t, 19, size{nodes: 3, zones: 2, each: 50}, 0)
+	for i := range 40 {
+		w.at(w.between(second, 60*second), func() { w.addJob(i) })
+	}
+	w.at(20*second, func() { w.guest(800000, 1, 25000, 0) })
+	for k := range 4 {
+		w.at(loop.Micros(23+9*k)*second, func() {
+			for _, l := range w.labels {
+				w.nodes[l].after("x/guest", func() { w.kill(l) })
+			}
+		})
+	}
+	w.run(3600*second + 400*second)
+	w.settled(25000)
+	if w.starts > 25000*13/10 {
+		t.Errorf("%d starts: more is done again than four deaths explain", w.starts)
+	}
+}
+
 // A silent node's teams are with others, and its workers too, within the stated time: its
 // lease and what ending it late may take, the longest wait of a claim, and a look; a worker
 // waits for 4 s and another second for each node that is silent.
