--- a/internal/health/blame.go
+++ b/internal/health/blame.go
@@ -18,6 +18,7 @@
 type Blame struct {
 	machines map[string]*accused
 	jobs     map[string]*accuser
+	live     func(id string) bool
 }
 
 // The thresholds.
@@ -70,8 +71,11 @@
 	roams bool
 }
 
-// NewBlame makes an empty judgement.
-func NewBlame() *Blame { return &Blame{machines: map[string]*accused{}, jobs: map[string]*accuser{}} }
+// NewBlame makes an empty judgement. live tells whether a job is known and not over: what
+// machines still show of others is not kept, or every job ever run would be.
+func NewBlame(live func(id string) bool) *Blame {
+	return &Blame{machines: map[string]*accused{}, jobs: map[string]*accuser{}, live: live}
+}
 
 // View takes in a machine's newer view.
 func (b *Blame) View(now loop.Micros, v *agent.View, c *agent.Changes) {
@@ -130,6 +134,9 @@
 		clear(m.words)
 		m.rests = 0
 	}
+	if !b.live(id) {
+		return
+	}
 	j := b.job(id)
 	j.sound = true
 	clear(j.on)
@@ -148,6 +155,9 @@
 
 // failed takes in that a task has failed.
 func (b *Blame) failed(now loop.Micros, machine, id, task string) {
+	if !b.live(id) {
+		return
+	}
 	m, j := b.machines[machine], b.job(id)
 	if len(j.on) < mostFailed {
 		j.on[machine] = struct{}{}
--- a/internal/health/blame_test.go
+++ b/internal/health/blame_test.go
@@ -85,6 +85,24 @@
 	return n
 }
 
+func always(string) bool { return true }
+
+// What machines still show of jobs that are over is not kept.
+func TestNothingIsKeptOfJobsThatAreOver(t *testing.T) {
+	over := map[string]bool{}
+	b := NewBlame(func(id string) bool { return !over[id] })
+	for k := range 50 {
+		id := fmt.Sprint("job-", k)
+		show(b, ending{loop.Second, "a", id, id + "/0", k%2 == 0}, 1)
+		over[id] = true
+		b.Over(id)
+		show(b, ending{loop.Second, "b", id, id + "/1", k%2 == 0}, 1)
+	}
+	if len(b.jobs) != 0 || len(b.machines["b"].words) != 0 {
+		t.Errorf("%d jobs and %d words are kept", len(b.jobs), len(b.machines["b"].words))
+	}
+}
+
 // show lets a machine report one more ended attempt.
 func show(b *Blame, e ending, attempt uint64) {
 	why := wire.WhyError
@@ -98,7 +116,7 @@
 func TestBlameAgainstHistory(t *testing.T) {
 	verdicts := 0
 	rapid.Check(t, func(t *rapid.T) {
-		b := NewBlame()
+		b := NewBlame(always)
 		var p plainBlame
 		now := loop.Micros(loop.Second)
 		attempts := map[string]uint64{}
@@ -144,7 +162,7 @@
 func TestWhoFailsWhere(t *testing.T) {
 	const s = loop.Second
 	run := func(list ...ending) *Blame {
-		b := NewBlame()
+		b := NewBlame(always)
 		attempts := map[string]uint64{}
 		for _, e := range list {
 			e.task = e.job + "/" + e.task
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -76,7 +76,7 @@
 // New makes the placer.
 func New(r loop.Runner, c *store.Client, log *slog.Logger, cfg *config.Config, n Node, book *job.Book, a *agent.Agent, cordons *cordon.Book) *Placer {
 	p := &Placer{r: r, cordons: cordons, c: c, log: log, cfg: cfg, n: n, book: book, agent: a, teams: map[string]*team{}, on: map[string]*aboard{},
-		blame: health.NewBlame(), zoneMemo: map[string]string{}, nonce: rand.Uint64() >> 1, usage: map[string]peer.Usage{},
+		blame: health.NewBlame(func(id string) bool { j := book.Get(id); return j != nil && !j.Final() }), zoneMemo: map[string]string{}, nonce: rand.Uint64() >> 1, usage: map[string]peer.Usage{},
 
 		checked: map[string]loop.Micros{}, paces: health.Paces{}}
 	p.fleet = fleet.New(r, log, fleet.Node{Label: n.Label, Type: n.Type, Room: a.Room, Jobs: a.Jobs, Unshown: p.unshown, Stop: n.Stop,
