Admission: a fair line of submissions, and parts of the state service by who is registered

Cause: each node had a fixed third of the state service's changes whether the others were there or not, and took submissions first come, first served. Change: internal/admission. Part: a node's part follows who is registered, that is by lease, and the parts add up to the same. Line: submissions are taken by turns of teams by weight and of their classes, urgent ones four times as often; whoever was put off keeps its place, at other nodes too; a full line makes room for a team that holds less; 429 with when its share has room. Overload: calm, crowded, overloaded, recovering. Polls that would be given up are put off at once.

--- /dev/null
+++ b/internal/admission/line_test.go
@@ -0,0 +1,273 @@
+package admission
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"cleatpick/internal/loop"
+)
+
+const second = loop.Second
+
+// desk takes so many requests a second out of a line, in batches, as a node does.
+type desk struct {
+	l      *Line
+	now    loop.Micros
+	rate   float64
+	credit float64
+	taken  map[string]int // by team and by team/class
+	done   map[string]bool
+}
+
+func newDesk(rate float64, weights map[string]float64) *desk {
+	return &desk{l: NewLine(func(t string) float64 { return weights[t] }, rate), now: 1000 * second, rate: rate, taken: map[string]int{}, done: map[string]bool{}}
+}
+
+func (d *desk) step(dt loop.Micros) {
+	d.now += dt
+	d.credit = min(d.credit+d.rate*float64(dt)/1e6, 8)
+	n := 0
+	for d.credit >= 1 {
+		x := d.l.Next(1)
+		if len(x) == 0 {
+			break
+		}
+		d.credit--
+		n++
+		d.done[x[0].ID] = true
+		d.taken[x[0].Team]++
+		d.taken[x[0].Team+"/"+x[0].Class]++
+	}
+	if n > 0 {
+		d.l.Served(n, d.now, d.l.Waiting() > 0)
+	}
+}
+
+// user asks, and asks again when it was told to, until it is taken or gives up after a
+// minute.
+type user struct {
+	Request
+	first, next loop.Micros
+	in, gaveUp  bool
+}
+
+// play lets users come at their rates for a time, and tells them all.
+func (d *desk) play(span loop.Micros, rng *rand.Rand, flows map[Request]float64) (all []*user) {
+	for end := d.now + span; d.now < end; d.step(50 * loop.Millisecond) {
+		for f, rate := range flows {
+			for n := rate * 0.05; n > 0 && (n >= 1 || rng.Float64() < n); n-- {
+				r := f
+				r.ID = fmt.Sprint("job-", len(all))
+				all = append(all, &user{Request: r, first: d.now, next: d.now})
+			}
+		}
+		for _, u := range all {
+			if u.in || u.gaveUp || d.now < u.next {
+				continue
+			}
+			if d.now-u.first > 60*second {
+				u.gaveUp = true
+				continue
+			}
+			a := d.l.Ask(u.Request, d.now, d.now)
+			u.in = a.Taken
+			u.next = d.now + loop.Micros(a.After)*second
+			if a.Instead != "" {
+				for _, o := range all {
+					if o.ID == a.Instead {
+						o.in, o.next = false, d.now+loop.Micros(a.After)*second
+					}
+				}
+			}
+		}
+	}
+	return all
+}
+
+// However much one team asks for, each is served by its weight, each class of a team has
+// its floor, and what a team does not use goes to the others.
+func TestSharesUnderOverload(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	d := newDesk(20, map[string]float64{"large": 6, "small": 2, "guest": 1})
+	all := d.play(120*second, rng, map[Request]float64{
+		{Team: "large", Class: "a"}:               3, // below its share of 13
+		{Team: "small", Class: "a"}:               40,
+		{Team: "small", Class: "u", Urgent: true}: 1,
+		{Team: "guest", Class: "swarm"}:           200,
+	})
+	in, asked, late := map[string]int{}, map[string]int{}, 0
+	for _, u := range all {
+		asked[u.Team+"/"+u.Class]++
+		if d.done[u.ID] {
+			in[u.Team+"/"+u.Class]++
+		} else if u.gaveUp && (u.Team == "large" || u.Urgent) {
+			late++
+		}
+	}
+	if in["large/a"] < asked["large/a"]-4 || in["small/u"] < asked["small/u"]-4 || late > 0 {
+		t.Errorf("of those within their share %d of %d and %d of %d are in, %d gave up", in["large/a"], asked["large/a"], in["small/u"], asked["small/u"], late)
+	}
+	rest := 20*120 - float64(d.taken["large"])
+	for team, part := range map[string]float64{"small": 2. / 3, "guest": 1. / 3} {
+		if got := float64(d.taken[team]) / rest; math.Abs(got-part) > 0.04 {
+			t.Errorf("%s has %.2f of what is left, its part is %.2f", team, got, part)
+		}
+	}
+	if d.l.State(d.now) != Overloaded {
+		t.Errorf("it is %v", d.l.State(d.now))
+	}
+}
+
+// Whoever was put off keeps its place: at the moment that one is taken, nobody of its class
+// with an earlier first try waits in line; and while a team asks for twice its share, at
+// least two in five of its users are in before they give up.
+func TestPlacesAreKept(t *testing.T) {
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 2))
+		d := newDesk(10, map[string]float64{"red": 1, "blue": 1})
+		all := d.play(150*second, rng, map[Request]float64{{Team: "red", Class: "k"}: 10, {Team: "blue", Class: "k"}: 10})
+		in, over := 0, 0
+		for _, u := range all {
+			if u.first > d.now-60*second {
+				continue
+			}
+			over++
+			if d.done[u.ID] {
+				in++
+			}
+		}
+		if in*5 < over*2 {
+			t.Errorf("seed %d: %d of %d users are in", seed, in, over)
+		}
+		l := NewLine(func(string) float64 { return 1 }, 10)
+		for range 200 {
+			id := fmt.Sprint("job-", rng.IntN(100))
+			l.Ask(Request{ID: id, Team: "red", Class: "k"}, d.now, d.now)
+			d.now += loop.Micros(rng.IntN(40)) * loop.Millisecond
+			if rng.IntN(3) == 0 {
+				before := map[string]loop.Micros{}
+				for id, e := range l.byID {
+					before[id] = e.First
+				}
+				for _, x := range l.Next(1) {
+					for id, first := range before {
+						if first < x.First {
+							t.Fatalf("seed %d: %s is taken, and %s asked before it", seed, x.ID, id)
+						}
+					}
+				}
+			}
+		}
+	}
+}
+
+// A place that another node gave is kept here, and one of long ago or the future is not.
+func TestPlacesOfOtherNodes(t *testing.T) {
+	one := func(string) float64 { return 1 }
+	a, b := NewLine(one, 5), NewLine(one, 5)
+	now := 1000 * second
+	for i := range 40 {
+		a.Ask(Request{ID: fmt.Sprint("job-", i), Team: "red", Class: "k"}, now, now)
+	}
+	told := a.News()
+	if len(told) == 0 || len(a.News()) != 0 {
+		t.Fatalf("%d places are told", len(told))
+	}
+	b.Learn(append(told, Place{ID: "old", First: now - 2*placeLife}, Place{ID: "new", First: now + 9*second}), now)
+	now += 3 * second
+	for i := range 4 {
+		b.Ask(Request{ID: fmt.Sprint("job-10", i), Team: "red", Class: "k"}, now, now)
+	}
+	for _, id := range []string{told[0].ID, "old", "new"} {
+		b.Ask(Request{ID: id, Team: "red", Class: "k"}, now, now)
+	}
+	if x := b.Next(1); len(x) != 1 || x[0].ID != told[0].ID {
+		t.Errorf("%v is first, not %s, which another node had put off", x, told[0].ID)
+	}
+	if len(b.News()) > 2 {
+		t.Error("places that were learnt are told on")
+	}
+}
+
+// Whatever is asked, what is kept is bounded; a team that holds least for its weight finds
+// room in a full line; and what is taken while nothing waits is never put off.
+func TestLineIsBounded(t *testing.T) {
+	rng := rand.New(rand.NewPCG(3, 3))
+	l := NewLine(func(t string) float64 { return map[string]float64{"guest": 0.01, "red": 1}[t] }, 1e6)
+	now := 1000 * second
+	for i := range 20000 {
+		now += loop.Micros(rng.IntN(2000))
+		l.Ask(Request{ID: fmt.Sprint("job-", i), Team: "guest", Class: fmt.Sprint(rng.IntN(5000)), Urgent: i%2 == 0}, now, now)
+	}
+	g := l.teams["guest"]
+	if l.Waiting() > most || len(l.places) > mostPlaces || len(l.order) > 2*mostPlaces+1 || len(g.classes) > mostClasses+1 || len(l.news) > mostNews {
+		t.Errorf("%d wait, %d places, %d classes, %d news", l.Waiting(), len(l.places), len(g.classes), len(l.news))
+	}
+	if a := l.Ask(Request{ID: "mine", Team: "red", Class: "k"}, now, now); !a.Taken || a.Instead == "" || a.After < 1 || a.After > longest {
+		t.Errorf("in a full line a team that holds nothing gets %+v", a)
+	}
+	for l.Waiting() > 0 {
+		l.Next(8)
+	}
+	if len(g.classes) != 0 {
+		t.Errorf("%d classes are kept of a team with nothing in line", len(g.classes))
+	}
+	l = NewLine(func(string) float64 { return 1 }, 0)
+	for i := range 100 {
+		if a := l.Ask(Request{ID: fmt.Sprint(i), Team: "red", Class: "k"}, now, now); !a.Taken {
+			t.Fatal("put off although nothing waits")
+		}
+		l.Next(1)
+	}
+}
+
+// A team that asked for nothing for long has its part once it asks, and not what it did not
+// use before; so has a class.
+func TestUnusedTurnsAreNotMadeUpFor(t *testing.T) {
+	l := NewLine(func(string) float64 { return 1 }, 1e6)
+	ask := func(team, class string, n int) {
+		for i := range n {
+			l.Ask(Request{ID: fmt.Sprint(team, class, i), Team: team, Class: class}, second, second)
+		}
+	}
+	ask("red", "a", 150)
+	l.Next(100)
+	ask("blue", "a", 50)
+	ask("red", "b", 50)
+	n := map[string]int{}
+	for _, x := range l.Next(40) {
+		n[x.Team+"/"+x.Class]++
+	}
+	if n["blue/a"] < 19 || n["blue/a"] > 21 || n["red/a"] < 9 || n["red/b"] < 9 {
+		t.Errorf("of the next 40: %v", n)
+	}
+}
+
+// The states follow each other as named, and do not swing while users come back.
+func TestOverloadStates(t *testing.T) {
+	var o Overload
+	var seen []string
+	o.changed = func(_, to State) { seen = append(seen, to.String()) }
+	now := 100 * second
+	run := func(d loop.Micros, waits bool, off func(k int) bool) {
+		for k := range int(d / (100 * loop.Millisecond)) {
+			now += 100 * loop.Millisecond
+			o.look(now, off == nil || !off(k), waits)
+		}
+	}
+	run(800*loop.Millisecond, true, nil)
+	run(2*second, false, nil)
+	run(3*second, true, nil)                                    // crowded
+	run(10*second, true, func(k int) bool { return k%20 == 0 }) // overloaded, every 2 s anew
+	run(20*second, true, nil)                                   // recovering after 5 s
+	run(5*second, false, nil)
+	if o.state != Recovering {
+		t.Errorf("users still come back, and it is %v", o.state)
+	}
+	run(40*second, false, nil) // calm
+	if got := fmt.Sprint(seen); got != "[crowded overloaded recovering calm]" {
+		t.Errorf("the states were %s", got)
+	}
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -188,7 +188,7 @@
 	case v.a.Code == 404:
 		write(ctx, 404, wire.Error{Error: "no such job"})
 	default:
-		later(ctx, v.a.Code, 1, "state service does not answer")
+		later(ctx, v.a.Code, max(v.a.After, 1), "state service does not answer")
 	}
 }
 
--- a/internal/job/inquiry.go
+++ b/internal/job/inquiry.go
@@ -58,7 +58,9 @@
 type inquiries struct {
 	waiting map[string]*inquiry
 	lines   [askers][]*inquiry
-	stale   []*inquiry // found changed; the news is waited for, or read
+	pace    loop.Micros // from one comparison to the next, lately
+	sent    loop.Micros // when the newest was; 0: nothing waited since
+	stale   []*inquiry  // found changed; the news is waited for, or read
 	reading int
 	flying  map[*inquiry]struct{} // being compared or read
 	users   int                   // that wait for an answer
@@ -82,7 +84,7 @@
 	}
 	q := &b.asked
 	x := q.waiting[id]
-	if as != Writer && (q.users >= q.most || x == nil && q.full(as)) {
+	if as != Writer && (q.users >= q.most || x == nil && (q.full(as) || q.wait(b.txnOps*4) > patience)) {
 		b.c.Meter.Poll("refused")
 		cb(Answer{Code: 429, ID: id, After: q.after(b.txnOps * 4)})
 		return
@@ -104,10 +106,16 @@
 	return len(q.waiting) >= mostAsked || as == Stranger && len(q.lines[Stranger]) >= mostStrange
 }
 
-// after is in how many seconds there is room again: what waits takes so many comparisons,
-// about ten a second, and whoever is told comes back spread over three seconds.
+// wait is how long a new question would wait, with so many in a comparison. Whoever would
+// be given up is told at once to come back, and not when its time is over.
+func (q *inquiries) wait(each int) loop.Micros {
+	return loop.Micros(len(q.waiting)/max(each, 1)+1) * q.pace
+}
+
+// after is in how many seconds there is room again; whoever is told comes back spread
+// over three seconds.
 func (q *inquiries) after(each int) int {
-	return 1 + min(len(q.waiting)/max(10*each, 1), 5) + q.users%3
+	return 1 + int(min(q.wait(each)/loop.Second, 5)) + q.users%3
 }
 
 // settle tells all who asked; it is the one place where an inquiry ends.
@@ -186,6 +194,10 @@
 		txn.If = append(txn.If, wire.Cond{Key: Keys + x.id, Mark: x.mark})
 	}
 	q.busy = true
+	if now := b.r.Now(); q.sent != 0 {
+		q.pace += (now - q.sent - q.pace) / 4
+	}
+	q.sent = b.r.Now()
 	for _, x := range batch {
 		q.flying[x] = struct{}{}
 	}
@@ -193,6 +205,9 @@
 		b.compared(batch, r)
 		b.r.After(inquiryGap, func() {
 			q.busy = false
+			if len(q.waiting) == 0 {
+				q.sent, q.pace = 0, q.pace/2
+			}
 			b.pumpInquiries()
 		})
 	})
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"strings"
 
+	"cleatpick/internal/admission"
 	"cleatpick/internal/loop"
 	"cleatpick/internal/store"
 	"cleatpick/internal/wire"
@@ -132,7 +133,7 @@
 	jobs     map[string]*Job
 	bad      map[string]bool // records that cannot be read, set aside
 	creates  map[string]*pendingCreate
-	order    []string
+	line     *admission.Line // of the creates that wait for their record
 	creating bool
 	asked    inquiries
 	// OnJob is called whenever a job's record is new or has changed.
@@ -140,7 +141,6 @@
 }
 
 const (
-	maxWaiting = 600
 	// mostUsers bounds the users that wait to be told of a job, unless MostAsking says less.
 	mostUsers = 2000
 	// patience is how long a user waits here before being told to come back.
@@ -152,6 +152,7 @@
 	b := &Book{r: r, c: c, m: m, log: log, txnOps: txnOps, jobs: map[string]*Job{}, bad: map[string]bool{},
 		creates: map[string]*pendingCreate{}, asked: inquiries{waiting: map[string]*inquiry{}, flying: map[*inquiry]struct{}{}, most: mostUsers}}
 	m.On(Keys, b.learn)
+	b.Admit(func(string) float64 { return 1 }, 40)
 	loop.Every(r, 250*loop.Millisecond, b.expire)
 	return b
 }
@@ -205,6 +206,21 @@
 // connection, and some must be left to submissions.
 func (b *Book) MostAsking(n int) { b.asked.most = min(max(n, 1), mostUsers) }
 
+// Admit sets by what weights teams share what is taken, and how many submissions a second
+// are expected to be. It is to be called before anything is submitted.
+func (b *Book) Admit(weight func(team string) float64, rate float64) {
+	b.line = admission.NewLine(weight, rate)
+	b.line.OnState(func(from, to admission.State) {
+		b.c.Meter.Admission(to.String())
+		b.log.Info("submissions", "from", from.String(), "to", to.String(), "waiting", b.line.Waiting())
+	})
+}
+
+// Places are the places of those who were put off since the call before, for the peers;
+// LearnPlaces takes in theirs.
+func (b *Book) Places() []admission.Place         { return b.line.News() }
+func (b *Book) LearnPlaces(all []admission.Place) { b.line.Learn(all, b.r.Wall()) }
+
 // Get finds a job known here.
 func (b *Book) Get(id string) *Job { return b.jobs[id] }
 
@@ -237,12 +253,17 @@
 		p.cb = append(p.cb, cb)
 		return
 	}
-	if len(b.creates) >= maxWaiting {
-		cb(Answer{Code: 429, ID: id})
+	a := b.line.Ask(admission.Request{ID: id, Team: spec.Team, Class: spec.Class, Urgent: spec.Priority >= High}, b.r.Now(), b.r.Wall())
+	if a.Instead != "" {
+		b.c.Meter.Submission("putOff")
+		b.settleCreate(a.Instead, Answer{Code: 429, ID: a.Instead, After: a.After})
+	}
+	if !a.Taken {
+		b.c.Meter.Submission("putOff")
+		cb(Answer{Code: 429, ID: id, After: a.After})
 		return
 	}
 	b.creates[id] = &pendingCreate{id: id, spec: spec, terms: terms.stored(), cb: []func(Answer){cb}, dead: b.r.Now() + patience}
-	b.order = append(b.order, id)
 	b.pumpCreates()
 }
 
@@ -262,22 +283,25 @@
 
 // pumpCreates stores waiting submissions, several in one transaction.
 func (b *Book) pumpCreates() {
-	if b.creating || len(b.order) == 0 {
+	if b.creating {
 		return
 	}
-	var ids, later []string
+	var ids []string
+	var turns []admission.Turn
 	var txn wire.Txn
 	recs := map[string]Record{}
 	size := 0
-	for _, id := range b.order {
+	for len(ids) < min(8, b.txnOps) && size <= 30000 {
+		next := b.line.Next(1)
+		if len(next) == 0 {
+			break
+		}
+		id := next[0].ID
 		p := b.creates[id]
 		if p == nil {
 			continue
 		}
-		if len(ids) >= min(8, b.txnOps) || size > 30000 {
-			later = append(later, id)
-			continue
-		}
+		turns = append(turns, next...)
 		rec := Record{Phase: Accepted, At: b.r.Wall(), Spec: p.spec, Terms: p.terms}
 		size += 600 + len(wire.Marshal(rec))
 		recs[id] = rec
@@ -285,7 +309,6 @@
 		txn.If = append(txn.If, wire.Cond{Key: Keys + id, Mark: 0})
 		txn.Then = append(txn.Then, wire.Change{Put: Keys + id, Value: rec})
 	}
-	b.order = later
 	if len(ids) == 0 {
 		return
 	}
@@ -294,7 +317,9 @@
 		b.creating = false
 		switch r.Outcome {
 		case store.Applied:
+			b.line.Served(len(ids), b.r.Now(), b.line.Waiting() > 0)
 			for _, id := range ids {
+				b.c.Meter.Submission("taken")
 				b.m.Apply(Keys+id, wire.Marshal(recs[id]), r.Tally, false)
 				if j := b.jobs[id]; j != nil {
 					b.settleCreate(id, answer(j, 201))
@@ -305,11 +330,11 @@
 			for _, k := range r.Failed {
 				failed[strings.TrimPrefix(k, Keys)] = true
 			}
-			for _, id := range ids {
-				if failed[id] {
+			for _, x := range turns {
+				if id := x.ID; failed[id] {
 					b.fetch(id, func(a Answer) { b.settleCreate(id, a) })
 				} else if b.creates[id] != nil {
-					b.order = append(b.order, id)
+					b.line.Back([]admission.Turn{x})
 				}
 			}
 		case store.Refused:
@@ -320,7 +345,7 @@
 		default:
 			// Unknown: the same creation may be tried again, since it is
 			// conditioned on the job's absence.
-			b.order = append(ids, b.order...)
+			b.line.Back(turns)
 			b.r.After(100*loop.Millisecond, b.pumpCreates)
 			return
 		}
@@ -369,7 +394,7 @@
 	now := b.r.Now()
 	for id, p := range b.creates {
 		if now >= p.dead {
-			b.settleCreate(id, Answer{Code: 503, ID: id})
+			b.settleCreate(id, Answer{Code: 503, ID: id, After: b.line.Drop(id, b.r.Wall())})
 		}
 	}
 	b.expireInquiries(now)
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -31,6 +31,8 @@
 	whys     prometheus.Histogram
 	polls    *prometheus.CounterVec
 	peers    *prometheus.CounterVec
+	submits  *prometheus.CounterVec
+	admits   *prometheus.CounterVec
 	trials   *prometheus.CounterVec
 	probes   *prometheus.CounterVec
 	doubtful prometheus.Gauge
@@ -77,6 +79,8 @@
 	m.requests = counters("api_requests_total", "Requests under /v1/ by status class.", "status")
 	m.whys = histogram("why_seconds", "How long gathering one explanation held the loop.", shortBuckets)
 	m.polls = counters("polls_total", "Questions about a job's state: final answers from memory, those that were compared, and those refused for coming too often.", "how")
+	m.submits = counters("submissions_total", "Submissions whose record was stored here, and those told to come back.", "how")
+	m.admits = counters("admission_changes_total", "Changes of how crowded the line of submissions is, by the new state.", "state")
 	m.peers = counters("peer_changes_total", "Changes of how a peer is reached, by the new state; damped: it came and went, and is not given work for a while.", "state", "damped")
 	m.trials = counters("jobs_judged_total", "Jobs that came to be judged sound, doubted or broken by who fails where.", "state")
 	m.probes = counters("probes_total", "Silent machines that were asked directly, by what came of it.", "word")
@@ -141,6 +145,20 @@
 	}
 }
 
+// Submission counts a submission; how it went is a fixed list.
+func (m *Meter) Submission(how string) {
+	if m != nil {
+		m.submits.WithLabelValues(how).Inc()
+	}
+}
+
+// Admission counts a change of how crowded the line of submissions is.
+func (m *Meter) Admission(state string) {
+	if m != nil {
+		m.admits.WithLabelValues(state).Inc()
+	}
+}
+
 // Peer counts a change of how a peer is reached; the states are a fixed list.
 func (m *Meter) Peer(state string, damped bool) {
 	if m != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,6 +8,7 @@
 	"net"
 	"time"
 
+	"cleatpick/internal/admission"
 	"cleatpick/internal/agent"
 	"cleatpick/internal/config"
 	"cleatpick/internal/cordon"
@@ -113,6 +114,10 @@
 	}
 	n.member = member.New(l, n.client, n.mirror, log, cfg.Label, teams, loop.Seconds(cfg.Operator.NodeLeaseS))
 	n.book = job.NewBook(l, n.client, n.mirror, log, cfg.Cluster.State.TxnOps)
+	n.book.Admit(func(team string) float64 {
+		t, _ := cfg.TeamNamed(team)
+		return cfg.Quota(t).Weight
+	}, cfg.Cluster.State.WriteRPS*0.45/float64(nodes))
 	n.book.MostAsking(cfg.Cluster.Limits.MaxSockets / 4)
 	n.cordons = cordon.NewBook(l, n.client, n.mirror, log, loop.Micros(cfg.Cluster.ClockOffMS*2000))
 	n.net = peer.New(l, log, cfg.Label, cfg.Known)
@@ -298,6 +303,7 @@
 	if n.more != nil {
 		n.more.asks.Take(e)
 	}
+	n.book.LearnPlaces(e.Places)
 	n.placer.Learn(e.Usage)
 	n.placer.LearnClaims(e.Claims)
 }
@@ -439,6 +445,9 @@
 
 func (n *Node) status() {
 	n.reach.Look()
+	if n.mirror.Ready() {
+		n.client.Use(admission.Part(n.member.Nodes(), n.cfg.Cluster.Nodes, n.member.Entitled()))
+	}
 	s := &peer.Status{Wall: n.loop.Wall(), Contact: n.contact() && n.member.Entitled(), Hosted: n.agent.Hosted(), Hears: []string{}}
 	for _, label := range n.net.Peers() {
 		if n.reach.Heard(label, reach.Fresh) {
@@ -448,7 +457,8 @@
 	if !s.Contact {
 		s.NoContact = max(n.loop.Now()-n.client.Contact()-1500*loop.Millisecond, 0)
 	}
-	n.net.All(func(e *peer.Envelope) { e.Status = s })
+	places := n.book.Places()
+	n.net.All(func(e *peer.Envelope) { e.Status, e.Places = s, places })
 }
 
 // Begin starts the slices, on the loop.
--- a/internal/node/silence_test.go
+++ b/internal/node/silence_test.go
@@ -224,3 +224,33 @@
 		t.Fatal("a owns all teams")
 	}
 }
+
+// What silent nodes do not use of the state service the others do, and give back once these
+// are there again. While all know who is registered, nobody's parts add up to more than all.
+func TestPartsOfTheStateServiceFollowRegistration(t *testing.T) {
+	const second = loop.Second
+	w := metWorld(t, 23, size{nodes: 3, zones: 2, each: 4}, 0)
+	parts := func() (out []float64) {
+		for _, l := range w.labels {
+			out = append(out, w.nodes[l].n.client.Part())
+		}
+		return out
+	}
+	near := func(got []float64, want ...float64) bool {
+		return slices.EqualFunc(got, want, func(a, b float64) bool { return a > b-1e-6 && a < b+1e-6 })
+	}
+	w.run(3620 * second)
+	if got := parts(); !near(got, 0.3, 0.3, 0.3) {
+		t.Errorf("all are there: %v", got)
+	}
+	w.cutFor(40*second, dropping, w.ways("b")...)
+	w.cutFor(40*second, dropping, w.ways("c")...)
+	w.run(w.now + loop.Seconds(w.cfg.Operator.NodeLeaseS) + 2*second)
+	if got := parts(); !near(got, 0.6, 0.075, 0.075) {
+		t.Errorf("b and c are silent: %v", got)
+	}
+	w.run(w.now + 45*second)
+	if got := parts(); !near(got, 0.3, 0.3, 0.3) {
+		t.Errorf("they are back: %v", got)
+	}
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"cleatpick/internal/admission"
 	"cleatpick/internal/agent"
 	"cleatpick/internal/config"
 	"cleatpick/internal/gate"
@@ -127,6 +128,8 @@
 	// machines of the receiver's whose full views the sender lacks for that.
 	Deltas []*agent.Delta `cbor:"16,keyasint,omitempty"`
 	Lost   []string       `cbor:"17,keyasint,omitempty"`
+	// Places are those of users who were put off, so that their next try keeps them.
+	Places []admission.Place `cbor:"18,keyasint,omitempty"`
 }
 
 const (
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -137,6 +137,9 @@
 	r        loop.Runner
 	do       Doer
 	log      *slog.Logger
+	rps      float64 // the service's limits
+	writeRPS float64
+	part     float64
 	reads    bucket
 	puts     bucket
 	asks     bucket // of the reads, what inquiries may take
@@ -167,14 +170,31 @@
 
 // NewClient makes a client that keeps to 1/nodes of the limits.
 func NewClient(r loop.Runner, do Doer, log *slog.Logger, rps, writeRPS float64, nodes int) *Client {
-	share := 0.9 / float64(max(nodes, 1))
-	return &Client{r: r, do: do, log: log,
-		reads: bucket{rate: rps * share, burst: max(rps*share*0.5, 4)},
-		asks:  bucket{rate: rps * share * inquiryPart, burst: max(rps*share*inquiryPart*0.5, 2)},
-		puts:  bucket{rate: writeRPS * share, burst: max(writeRPS*share*0.9, 4)},
+	c := &Client{r: r, do: do, log: log, rps: rps, writeRPS: writeRPS}
+	c.Use(0.9 / float64(max(nodes, 1)))
+	return c
+}
+
+// Use sets the part of the service's limits that this node uses.
+func (c *Client) Use(part float64) {
+	if part == c.part {
+		return
 	}
+	now := c.r.Now()
+	for _, b := range []*bucket{&c.reads, &c.asks, &c.puts} {
+		if b.at != 0 {
+			b.fill(now) // what was earned until now was earned at the old rate
+		}
+	}
+	c.part = part
+	c.reads.rate, c.reads.burst = c.rps*part, max(c.rps*part*0.5, 4)
+	c.asks.rate, c.asks.burst = c.rps*part*inquiryPart, max(c.rps*part*inquiryPart*0.5, 2)
+	c.puts.rate, c.puts.burst = c.writeRPS*part, max(c.writeRPS*part*0.9, 4)
 }
 
+// Part is the part of the service's limits that this node uses.
+func (c *Client) Part() float64 { return c.part }
+
 // Contact tells when the newest well answered request was sent.
 func (c *Client) Contact() loop.Micros { return c.lastOK }
 
