--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -86,7 +86,7 @@
 	mine     map[string]Owner
 	nodes    map[string]nodeRecord
 	handed   loop.Micros // when owned keys were last handed over
-	alone    bool        // what the others were told of this node's isolation
+	alone    bool        // what the others were told of this node's isolation: the state service is the only way left for that
 	telling  bool
 	evicted  map[string]loop.Micros
 	// Fit tells whether another node may be given work, Broken whether the way between
@@ -177,23 +177,36 @@
 			return
 		}
 		b.inst = epoch
-		b.c.Txn(store.Leases, wire.Txn{Then: []wire.Change{{Put: nodeKeys + b.label,
-			Value: nodeRecord{Epoch: epoch, Lease: lease}, Lease: lease}}}, func(r store.Result) {
-			if b.lease != lease {
-				return
-			}
-			if r.Outcome == store.NoLease {
-				b.lost()
-				return
-			}
-			if r.Outcome != store.Applied {
-				again()
-				return
+		b.register(lease, false)
+	})
+}
+
+// register stores that this node is there, and whether it hears any other. It is asked for
+// again when the record is not its own any more: what an earlier life had sent, carried out
+// late, once took its place and went with that life's lease, so that a node that served was
+// counted by nobody.
+func (b *Member) register(lease uint64, alone bool) {
+	if b.lease != lease || b.telling {
+		return
+	}
+	b.telling = true
+	rec := nodeRecord{Epoch: b.inst, Lease: lease, Alone: alone}
+	b.c.Txn(store.Leases, wire.Txn{Then: []wire.Change{{Put: nodeKeys + b.label, Value: rec, Lease: lease}}}, func(r store.Result) {
+		b.telling = false
+		switch {
+		case b.lease != lease:
+		case r.Outcome == store.NoLease:
+			b.lost()
+		case r.Outcome == store.Applied:
+			b.alone = alone
+			b.m.Apply(nodeKeys+b.label, wire.Marshal(rec), r.Tally, false)
+			if b.state == Numbered {
+				b.setState(Active)
+				b.tick()
 			}
-			b.m.Apply(nodeKeys+b.label, wire.Marshal(nodeRecord{Epoch: epoch, Lease: lease}), r.Tally, false)
-			b.setState(Active)
-			b.tick()
-		})
+		case b.state == Numbered:
+			b.r.After(300*loop.Millisecond, func() { b.register(lease, alone) })
+		}
 	})
 }
 
@@ -344,8 +357,8 @@
 	}
 	now := b.r.Now()
 	isolated := b.Isolated != nil && len(b.nodes) > 1 && b.Isolated()
-	if isolated != b.alone {
-		b.tell(isolated)
+	if isolated != b.alone || b.nodes[b.label].Lease != b.lease {
+		b.register(b.lease, isolated)
 	}
 	gather := isolated && b.AllAlone()
 	_, leads := b.mine[leaderKey]
@@ -415,24 +428,6 @@
 	return append(keys, leaderKey)
 }
 
-// tell lets the others know whether this node hears any of them. The state service
-// is the only way left for that.
-func (b *Member) tell(alone bool) {
-	if b.telling {
-		return
-	}
-	b.telling = true
-	lease := b.lease
-	rec := nodeRecord{Epoch: b.inst, Lease: lease, Alone: alone}
-	b.c.Txn(store.Leases, wire.Txn{Then: []wire.Change{{Put: nodeKeys + b.label, Value: rec, Lease: lease}}}, func(r store.Result) {
-		b.telling = false
-		if r.Outcome == store.Applied && lease == b.lease {
-			b.alone = alone
-			b.m.Apply(nodeKeys+b.label, wire.Marshal(rec), r.Tally, false)
-		}
-	})
-}
-
 // AllAlone tells whether no node hears another, by what each has told.
 func (b *Member) AllAlone() bool {
 	for _, rec := range b.nodes {
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -9,6 +9,7 @@
 	"cleatpick/internal/loop"
 	"cleatpick/internal/standin"
 	"cleatpick/internal/store"
+	"cleatpick/internal/wire"
 )
 
 // tap lets a node lose the state service.
@@ -174,3 +175,29 @@
 		t.Fatalf("guest is owned by %q; foreign to a: %v", o.Node, a.Foreign("guest"))
 	}
 }
+
+// A registration that an earlier life had sent may be carried out after the new life has
+// registered, and goes when the earlier lease ends. The node was counted by nobody then.
+func TestRegistrationOfAnEarlierLife(t *testing.T) {
+	s := standin.NewStepped(100 * loop.Second)
+	state := standin.NewState(func() loop.Micros { return s.Now() })
+	b := nodeOn(s, &tap{state: state}, "b")
+	a := nodeOn(s, &tap{state: state}, "a")
+	s.Run(3 * loop.Second)
+	if b.Nodes() != 2 {
+		t.Fatalf("%d nodes are registered, want 2", b.Nodes())
+	}
+	old := state.Do("POST", "/holds", wire.Marshal(wire.Lease{TTLms: 4000}), 0)
+	var l wire.Lease
+	if err := wire.Unmarshal(old.Body, &l); err != nil {
+		t.Fatal(err)
+	}
+	late := wire.Txn{If: []wire.Cond{}, Then: []wire.Change{{Put: nodeKeys + "a", Value: nodeRecord{Epoch: 1, Lease: l.ID}, Lease: l.ID}}}
+	if r := state.Do("POST", "/multi", wire.Marshal(late), 0); r.Status != 200 {
+		t.Fatalf("the late registration is answered %d", r.Status)
+	}
+	s.Run(8 * loop.Second)
+	if b.Nodes() != 2 || b.nodes["a"].Lease != a.Lease() || !a.Entitled() {
+		t.Fatalf("%d nodes are registered, a by lease %d and not %d", b.Nodes(), b.nodes["a"].Lease, a.Lease())
+	}
+}
--- /dev/null
+++ b/internal/node/addition_test.go
@@ -0,0 +1,137 @@
+package node
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"cleatpick/internal/config"
+	"cleatpick/internal/loop"
+)
+
+// What the users added to the rules: machines that are deaf, copies of reports that come
+// late, nodes with nothing left but their workers, and processes and machines that are back
+// within a fraction of a second.
+
+// deafen lets machines report on while nothing reaches them.
+func (w *world) deafen(names []string, d loop.Micros) {
+	for _, name := range names {
+		x := w.workers[name]
+		x.deaf = true
+		w.at(d, func() { x.deaf = false })
+	}
+}
+
+// inZone lists the machines of a zone that are up.
+func (w *world) inZone(zone string) []string {
+	return slices.DeleteFunc(w.present(), func(name string) bool { return w.workers[name].w.Zone != zone })
+}
+
+// workersOnly are all ways of a node but those to its workers.
+func (w *world) workersOnly(label string) []string {
+	return slices.DeleteFunc(w.ways(label), func(way string) bool { return way == label+">workers" })
+}
+
+// backAtOnce ends nodes that are back before their peers notice, up to three times.
+func (w *world) backAtOnce(labels []string, times int) {
+	for _, l := range labels {
+		for k := range times {
+			w.at(loop.Micros(k)*w.between(300*loop.Millisecond, 900*loop.Millisecond), func() {
+				w.killFor(l, w.between(20*loop.Millisecond, 400*loop.Millisecond))
+			})
+		}
+	}
+}
+
+// someLabels picks at least one node.
+func (w *world) someLabels() (out []string) {
+	for _, k := range w.rng.Perm(len(w.labels))[:1+w.rng.IntN(len(w.labels))] {
+		out = append(out, w.labels[k])
+	}
+	return out
+}
+
+var added = []struct {
+	name string
+	do   func(w *world)
+}{
+	{"deaf", func(w *world) { w.deafen(w.some(0.05+0.4*w.rng.Float64()), w.between(2*loop.Second, 40*loop.Second)) }},
+	{"a deaf zone", func(w *world) {
+		w.deafen(w.inZone(w.zones[w.rng.IntN(len(w.zones))]), w.between(2*loop.Second, 30*loop.Second))
+	}},
+	{"late copies", func(w *world) {
+		w.copies = 0.05 + 0.4*w.rng.Float64()
+		w.at(w.between(10*loop.Second, 60*loop.Second), func() { w.copies = 0 })
+	}},
+	{"its workers only", func(w *world) {
+		w.cutFor(w.between(10*loop.Second, 60*loop.Second), w.lostMode(), w.workersOnly(w.anyLabel())...)
+	}},
+	{"all their workers only", func(w *world) {
+		d, mode := w.between(10*loop.Second, 50*loop.Second), w.lostMode()
+		for _, l := range w.labels[w.rng.IntN(2):] { // all, or all but one
+			w.cutFor(d, mode, w.workersOnly(l)...)
+		}
+	}},
+	{"back at once", func(w *world) { w.backAtOnce(w.someLabels(), 1+w.rng.IntN(3)) }},
+	{"back at once in an election", func(w *world) {
+		// The leader ends, and whoever is about to claim what it held ends as well, with
+		// its claim carried out or on its way.
+		w.killFor(w.leader(), w.between(20*loop.Millisecond, 3*loop.Second))
+		for _, l := range w.labels {
+			w.nodes[l].after(`c/l`, func() { w.killFor(l, w.between(20*loop.Millisecond, 300*loop.Millisecond)) })
+		}
+	}},
+	{"back at once after a record", func(w *world) {
+		l := w.anyLabel()
+		w.nodes[l].after("x/", func() { w.killFor(l, w.between(20*loop.Millisecond, 300*loop.Millisecond)) })
+	}},
+	{"machines back at once", func(w *world) { w.rebirth(w.some(0.2 * w.rng.Float64())) }},
+}
+
+// The additions alone, in pairs, and beside everything that was met before: no rule breaks,
+// no job is forgotten, everything gets done, and nothing is under half.
+func TestRulesThatWereAdded(t *testing.T) {
+	from, to := seeds(t, 1, 12)
+	for seed := from; seed <= to; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			r := rand.New(rand.NewPCG(seed, 23))
+			z := drawSize(r)
+			w := newWorldOf(t, seed, z, func(c *config.Config) {
+				n := float64(z.zones * z.each * 8)
+				c.Cluster.Teams = []config.Team{{Name: "red", CPUs: n / 5, CPUsMax: max(n/3, 8)}, {Name: "blue", CPUs: n / 8, CPUsMax: max(n/2, 8)}, {Name: "guest"}}
+			})
+			w.cloud.Lag = loop.Micros(r.IntN(3)) * loop.Second
+			for i := range 30 + z.zones*z.each/4 {
+				w.at(w.between(loop.Second, 120*loop.Second), func() { w.addJob(i) })
+			}
+			if r.IntN(3) == 0 {
+				w.at(20*loop.Second, func() { w.guest(800000, 2, 20, loop.Second) })
+			}
+			troubles := slices.Concat(added, together, met)
+			var strike func()
+			strike = func() {
+				added[r.IntN(len(added))].do(w)
+				if r.IntN(2) == 0 {
+					second := troubles[r.IntN(len(troubles))]
+					w.at(w.between(0, 5*loop.Second), func() { second.do(w) })
+				}
+				w.at(w.between(8*loop.Second, 30*loop.Second), func() {
+					if w.now < 3600*loop.Second+130*loop.Second {
+						strike()
+					}
+				})
+			}
+			w.at(15*loop.Second, strike)
+			w.at(0, w.live)
+			w.at(0, w.checkCancelled)
+			w.at(0, w.checkBeliefs)
+			w.at(0, w.checkKnown)
+			w.calm = 3600*loop.Second + 260*loop.Second
+			w.run(3600*loop.Second + 700*loop.Second)
+			w.settled(20)
+			w.halfServed()
+		})
+	}
+}
--- /dev/null
+++ b/internal/node/world_machine_test.go
@@ -0,0 +1,193 @@
+package node
+
+import (
+	"sort"
+
+	"cleatpick/internal/agent"
+	"cleatpick/internal/loop"
+	"cleatpick/internal/loss"
+	"cleatpick/internal/standin"
+	"cleatpick/internal/store"
+	"cleatpick/internal/wire"
+)
+
+// probe tells what a node finds that asks a worker. A machine that hangs takes connections.
+func (w *world) probe(from, addr string) loss.Word {
+	x := w.workers[addr[len("worker:"):]]
+	switch {
+	case x == nil || x.gone || x.deaf || w.toWorker(from, x) != open:
+		return loss.NoWay
+	case x.hanging:
+		return loss.Mute
+	}
+	x.w.Report()
+	return loss.Answered
+}
+
+// direct carries a command straight to a worker.
+func (w *world) direct(from, addr, path string, body []byte) store.Response {
+	x := w.workers[addr[len("worker:"):]]
+	if x == nil || x.gone || x.hanging || x.deaf {
+		return store.Response{Err: errLost}
+	}
+	return w.crossBy(w.toWorker(from, x), func() store.Response {
+		if x.gone || x.hanging {
+			return store.Response{Err: errLost}
+		}
+		if path == "/inspect" {
+			return store.Response{Status: 200, Body: wire.Marshal(x.w.Report())}
+		}
+		var c wire.Commands
+		if err := wire.Unmarshal(body, &c); err != nil {
+			w.fail("a command cannot be read: %v", err)
+		}
+		status, r := x.w.Command(w.now, c)
+		return store.Response{Status: status, Body: wire.Marshal(r)}
+	})
+}
+
+func (w *world) boot(m wire.Listed) {
+	x := &simWorker{w: standin.NewWorker(w.now, loop.Seconds(w.cfg.Cluster.Workers.LeaseS)), at: w.rng.IntN(len(w.labels))}
+	x.w.Name, x.w.Addr, x.w.Type, x.w.Zone, x.w.Spot = m.Name, m.Addr, m.Type, m.Zone, m.Spot
+	x.w.CPUs, x.w.MemoryGB = w.cloud.Types[0].CPUs, w.cloud.Types[0].MemoryGB
+	x.w.Job = func(id string) (standin.Job, bool) {
+		j := w.jobs[id]
+		if j == nil {
+			return standin.Job{}, false
+		}
+		return standin.Job{CPUs: j.spec.CPUs, MemoryGB: j.spec.MemoryGB, Run: j.run, Tasks: j.spec.Tasks, Broken: j.broken, Every: j.every, FailsAfter: j.failsIn}, true
+	}
+	x.w.Began = func(task, _ string) { w.began(x, task) }
+	x.w.Left = func(task, why string) { w.left(task, why) }
+	x.w.Faulty = w.rng.Float64() < 0.05
+	if _, gone := w.workers[m.Name]; gone {
+		return
+	}
+	w.workers[m.Name] = x
+	w.beat(x)
+}
+
+func (w *world) destroy(name string) {
+	x := w.workers[name]
+	if x == nil {
+		w.workers[name] = &simWorker{gone: true, w: standin.NewWorker(w.now, 1)}
+		return
+	}
+	x.gone = true
+	x.w.Destroy()
+}
+
+// beat is a worker's reporting, one report in flight at a time.
+func (w *world) beat(x *simWorker) {
+	if x.gone {
+		return
+	}
+	again := func(d loop.Micros) { w.at(d, func() { w.beat(x) }) }
+	if x.hanging {
+		again(300 * loop.Millisecond)
+		return
+	}
+	x.w.Tick(w.now)
+	r := x.w.Report()
+	sent := w.now
+	label := w.labels[x.at]
+	s := w.nodes[label]
+	answered := false
+	next := func() {
+		x.at = (x.at + 1) % len(w.labels)
+		again(loop.Second)
+	}
+	gen := s.gen
+	deliver := func() {
+		s.enter(gen, func() {
+			s.n.agent.Beat(r, func(a agent.Answer) {
+				w.at(w.between(300, 2000), func() {
+					if answered || x.gone || x.deaf || w.toWorker(label, x) != open {
+						return
+					}
+					answered = true
+					if a.Status == 200 {
+						c, ok := a.Body.(wire.Commands)
+						if !ok {
+							w.fail("a report is answered with %T", a.Body)
+						}
+						if !x.hanging {
+							x.w.Answered(w.now, sent, r.Session, c)
+						}
+						again(w.between(750*loop.Millisecond, 1250*loop.Millisecond))
+						return
+					}
+					if to, ok := a.Body.(wire.ReportTo); ok && to.Node != "" && to.Node != label {
+						for i, l := range w.labels {
+							if l == to.Node {
+								x.at = i
+							}
+						}
+						again(w.between(0, 500*loop.Millisecond))
+						return
+					}
+					next()
+				})
+			})
+		})
+	}
+	switch w.toWorker(label, x) {
+	case open:
+		w.at(w.between(300, 2000), deliver)
+		w.copyLate(r)
+	case holding:
+		w.at(w.between(5*loop.Second, 40*loop.Second), deliver) // a late report
+	}
+	w.at(4*loop.Second, func() {
+		if !answered {
+			answered = true
+			next()
+		}
+	})
+}
+
+// copyLate delivers copies of a report once more, to whichever node and however much later,
+// and now and then a copy of the copy.
+func (w *world) copyLate(r wire.Report) {
+	if w.copies == 0 || w.rng.Float64() >= w.copies {
+		return
+	}
+	lease := loop.Seconds(w.cfg.Cluster.Workers.LeaseS)
+	w.at(w.between(loop.Second, [...]loop.Micros{5 * loop.Second, lease, 4 * lease}[w.rng.IntN(3)]), func() {
+		s := w.nodes[w.anyLabel()]
+		s.enter(s.gen, func() { s.n.agent.Beat(r, func(agent.Answer) {}) })
+		w.copyLate(r)
+	})
+}
+
+// rebirth ends a machine with all that is on it, and has it back at once under its name: a
+// new worker that knows nothing.
+func (w *world) rebirth(names []string) {
+	for _, name := range names {
+		x := w.workers[name]
+		if x.gone {
+			continue
+		}
+		old := x.w
+		old.Destroy()
+		x.w = standin.NewWorker(w.now, loop.Seconds(w.cfg.Cluster.Workers.LeaseS))
+		x.w.Name, x.w.Addr, x.w.Type, x.w.Zone, x.w.Spot = old.Name, old.Addr, old.Type, old.Zone, old.Spot
+		x.w.CPUs, x.w.MemoryGB, x.w.Faulty = old.CPUs, old.MemoryGB, old.Faulty
+		x.w.Job, x.w.Began, x.w.Left = old.Job, old.Began, old.Left
+	}
+}
+
+// live lets the workers' own time pass between their reports.
+func (w *world) live() {
+	names := make([]string, 0, len(w.workers))
+	for name := range w.workers {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		if x := w.workers[name]; !x.gone && !x.hanging {
+			x.w.Tick(w.now)
+		}
+	}
+	w.at(250*loop.Millisecond, w.live)
+}
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -8,7 +8,6 @@
 	"log/slog"
 	"math/rand/v2"
 	"os"
-	"sort"
 	"strings"
 	"testing"
 	"time"
@@ -21,8 +20,6 @@
 	"cleatpick/internal/standin"
 	"cleatpick/internal/store"
 	"cleatpick/internal/wire"
-
-	"cleatpick/internal/agent"
 )
 
 // A world is the whole deployment under hand-driven time: real nodes wired to
@@ -76,6 +73,8 @@
 	cost    cost
 	// settings changes the settings of one node, as while they are brought in; may be nil.
 	settings func(label string, c *config.Config)
+	copies   float64     // the part of all reports of which a copy comes late
+	calm     loop.Micros // when all troubles are over; 0: that is not judged
 }
 
 // cost is what the nodes' own code takes, told from the world around it.
@@ -134,6 +133,7 @@
 	busy    bool
 	hanging bool
 	gone    bool
+	deaf    bool // its reports arrive; answers and commands do not reach it
 }
 
 type simJob struct {
@@ -146,7 +146,10 @@
 	accepted  bool
 	done      bool
 	withdrawn loop.Micros
-	asked     bool // its user asked to cancel it
+	asked     bool        // its user asked to cancel it
+	first     loop.Micros // when it was first submitted
+	heard     loop.Micros // when its user was last told of it
+	began     loop.Micros // when its first task did
 	terms     *job.Terms
 }
 
@@ -377,250 +380,20 @@
 	})
 }
 
-func (w *world) kill(label string) {
-	w.nodes[label].alive = false
-	w.at(w.between(2*loop.Second, 8*loop.Second), func() { w.startNode(label) })
-}
-
-// probe tells what a node finds that asks a worker. A machine that hangs takes connections.
-func (w *world) probe(from, addr string) loss.Word {
-	x := w.workers[addr[len("worker:"):]]
-	switch {
-	case x == nil || x.gone || w.toWorker(from, x) != open:
-		return loss.NoWay
-	case x.hanging:
-		return loss.Mute
-	}
-	x.w.Report()
-	return loss.Answered
-}
-
-// direct carries a command straight to a worker.
-func (w *world) direct(from, addr, path string, body []byte) store.Response {
-	x := w.workers[addr[len("worker:"):]]
-	if x == nil || x.gone || x.hanging {
-		return store.Response{Err: errLost}
-	}
-	return w.crossBy(w.toWorker(from, x), func() store.Response {
-		if x.gone || x.hanging {
-			return store.Response{Err: errLost}
-		}
-		if path == "/inspect" {
-			return store.Response{Status: 200, Body: wire.Marshal(x.w.Report())}
-		}
-		var c wire.Commands
-		if err := wire.Unmarshal(body, &c); err != nil {
-			w.fail("a command cannot be read: %v", err)
-		}
-		status, r := x.w.Command(w.now, c)
-		return store.Response{Status: status, Body: wire.Marshal(r)}
-	})
-}
-
-func (w *world) boot(m wire.Listed) {
-	x := &simWorker{w: standin.NewWorker(w.now, loop.Seconds(w.cfg.Cluster.Workers.LeaseS)), at: w.rng.IntN(len(w.labels))}
-	x.w.Name, x.w.Addr, x.w.Type, x.w.Zone, x.w.Spot = m.Name, m.Addr, m.Type, m.Zone, m.Spot
-	x.w.CPUs, x.w.MemoryGB = w.cloud.Types[0].CPUs, w.cloud.Types[0].MemoryGB
-	x.w.Job = func(id string) (standin.Job, bool) {
-		j := w.jobs[id]
-		if j == nil {
-			return standin.Job{}, false
-		}
-		return standin.Job{CPUs: j.spec.CPUs, MemoryGB: j.spec.MemoryGB, Run: j.run, Tasks: j.spec.Tasks, Broken: j.broken, Every: j.every, FailsAfter: j.failsIn}, true
-	}
-	x.w.Began = func(task, _ string) { w.began(x, task) }
-	x.w.Left = func(task, why string) { w.left(task, why) }
-	x.w.Faulty = w.rng.Float64() < 0.05
-	if _, gone := w.workers[m.Name]; gone {
-		return
-	}
-	w.workers[m.Name] = x
-	w.beat(x)
-}
-
-func (w *world) destroy(name string) {
-	x := w.workers[name]
-	if x == nil {
-		w.workers[name] = &simWorker{gone: true, w: standin.NewWorker(w.now, 1)}
-		return
-	}
-	x.gone = true
-	x.w.Destroy()
-}
+func (w *world) kill(label string) { w.killFor(label, w.between(2*loop.Second, 8*loop.Second)) }
 
-// beat is a worker's reporting, one report in flight at a time.
-func (w *world) beat(x *simWorker) {
-	if x.gone {
-		return
-	}
-	again := func(d loop.Micros) { w.at(d, func() { w.beat(x) }) }
-	if x.hanging {
-		again(300 * loop.Millisecond)
-		return
-	}
-	x.w.Tick(w.now)
-	r := x.w.Report()
-	sent := w.now
-	label := w.labels[x.at]
+// killFor ends a node's process, which is back after a while.
+func (w *world) killFor(label string, d loop.Micros) {
 	s := w.nodes[label]
-	answered := false
-	next := func() {
-		x.at = (x.at + 1) % len(w.labels)
-		again(loop.Second)
-	}
+	s.alive = false
 	gen := s.gen
-	deliver := func() {
-		s.enter(gen, func() {
-			s.n.agent.Beat(r, func(a agent.Answer) {
-				w.at(w.between(300, 2000), func() {
-					if answered || x.gone || w.toWorker(label, x) != open {
-						return
-					}
-					answered = true
-					if a.Status == 200 {
-						c, ok := a.Body.(wire.Commands)
-						if !ok {
-							w.fail("a report is answered with %T", a.Body)
-						}
-						if !x.hanging {
-							x.w.Answered(w.now, sent, r.Session, c)
-						}
-						again(w.between(750*loop.Millisecond, 1250*loop.Millisecond))
-						return
-					}
-					if to, ok := a.Body.(wire.ReportTo); ok && to.Node != "" && to.Node != label {
-						for i, l := range w.labels {
-							if l == to.Node {
-								x.at = i
-							}
-						}
-						again(w.between(0, 500*loop.Millisecond))
-						return
-					}
-					next()
-				})
-			})
-		})
-	}
-	switch w.toWorker(label, x) {
-	case open:
-		w.at(w.between(300, 2000), deliver)
-	case holding:
-		w.at(w.between(5*loop.Second, 40*loop.Second), deliver) // a late report
-	}
-	w.at(4*loop.Second, func() {
-		if !answered {
-			answered = true
-			next()
+	w.at(d, func() {
+		if s.gen == gen {
+			w.startNode(label)
 		}
 	})
 }
 
-// began and left are the referee's view of what is on the machines.
-func (w *world) began(x *simWorker, task string) {
-	w.starts++
-	id, i, _ := agent.SplitTask(task)
-	j := w.jobs[id]
-	if on, ok := w.active[task]; ok {
-		w.fail("ran_twice: %s starts on %s while it is on %s", task, x.w.Name, on)
-	}
-	if i >= j.spec.Tasks || !j.accepted && !j.asked && w.stored(id) == "" {
-		w.fail("%s starts, but was never submitted", task)
-	}
-	if !j.spec.AllowsPlace(x.w.Type, x.w.Zone, x.w.Spot) {
-		w.fail("wrong_place: %s on %s", task, x.w.Name)
-	}
-	zones := map[string]int{x.w.Zone: 1}
-	if j.spec.OneZone || j.spec.Spread {
-		for t, m := range w.active {
-			if o, _, _ := agent.SplitTask(t); o == id {
-				zones[w.workers[m].w.Zone]++
-			}
-		}
-	}
-	if j.spec.OneZone && len(zones) > 1 || j.spec.Spread && zones[x.w.Zone] > (j.spec.Tasks+1)/2 {
-		w.fail("wrong_place: %s starts in %s beside %v", task, x.w.Zone, zones)
-	}
-	if j.withdrawn != 0 && w.now > j.withdrawn+loop.Seconds(w.cfg.Cluster.Workers.CancelS) {
-		w.fail("ran_cancelled: %s starts", task)
-	}
-	if w.onBegan != nil {
-		w.onBegan(x, task)
-	}
-	w.active[task] = x.w.Name
-	w.teams[j.spec.Team] += j.spec.CPUs
-	limit, _ := w.cfg.TeamNamed(j.spec.Team)
-	if limit.CPUsMax != 0 && w.teams[j.spec.Team] > limit.CPUsMax+1e-9 {
-		w.fail("quota: team %s uses %v of %v", j.spec.Team, w.teams[j.spec.Team], limit.CPUsMax)
-	}
-}
-
-func (w *world) left(task, why string) {
-	id, _, _ := agent.SplitTask(task)
-	delete(w.active, task)
-	w.teams[w.jobs[id].spec.Team] -= w.jobs[id].spec.CPUs
-	if why == wire.WhyDone {
-		w.doneT[task] = true
-	}
-}
-
-func (w *world) stored(id string) job.Phase {
-	raw, ok := w.state.Value(job.Keys + id)
-	if !ok {
-		return ""
-	}
-	var rec job.Record
-	if err := wire.Unmarshal(raw, &rec); err != nil {
-		return ""
-	}
-	return rec.Phase
-}
-
-// told checks an answer that a user got against all that was said before.
-func (w *world) told(j *simJob, a job.Answer) {
-	switch a.Code {
-	case 404:
-		if j.accepted {
-			w.fail("forgotten: %s", j.id)
-		}
-		return
-	case 200, 201:
-	default:
-		return
-	}
-	j.accepted = true
-	switch a.Phase {
-	case job.Done:
-		if j.withdrawn != 0 {
-			w.fail("went_back: %s was withdrawn, and is done", j.id)
-		}
-		for i := range j.spec.Tasks {
-			if !w.doneT[agent.TaskName(j.id, i)] {
-				w.fail("not_done: %s is called done before task %d", j.id, i)
-			}
-		}
-		j.done = true
-	case job.Withdrawn:
-		if j.terms != nil && j.terms.OnWithdrawn == job.PolicyWithdraw && !j.asked {
-			gone := false
-			for _, d := range j.terms.After {
-				gone = gone || w.stored(d) == job.Withdrawn
-			}
-			j.asked = gone // its user asked for that at the submission
-		}
-		if !j.asked || j.done {
-			w.fail("went_back: %s is called withdrawn (asked %v, done %v)", j.id, j.asked, j.done)
-		}
-		if j.withdrawn == 0 {
-			j.withdrawn = w.now
-		}
-	default:
-		if j.done || j.withdrawn != 0 {
-			w.fail("went_back: %s is called %q again", j.id, a.Phase)
-		}
-	}
-}
-
 // any picks a node that takes requests.
 func (w *world) any() *Node {
 	if s := w.door(); s != nil {
@@ -640,6 +413,9 @@
 }
 
 func (w *world) submit(j *simJob) {
+	if j.first == 0 {
+		j.first = w.now
+	}
 	if s := w.door(); s != nil {
 		s.enter(s.gen, func() {
 			if j.terms == nil {
@@ -701,43 +477,6 @@
 	}
 }
 
-// checkCancelled looks for tasks of jobs that were withdrawn too long ago.
-func (w *world) checkCancelled() {
-	for t, m := range w.active {
-		id, _, _ := agent.SplitTask(t)
-		if j := w.jobs[id]; j.withdrawn != 0 && w.now > j.withdrawn+loop.Seconds(w.cfg.Cluster.Workers.CancelS) {
-			w.fail("ran_cancelled: %s is still on %s", t, m)
-		}
-	}
-	w.at(loop.Second, w.checkCancelled)
-}
-
-// checkBeliefs looks for nodes that hold themselves for entitled although their lease has
-// run out. One that peers have ended is another matter: all that hangs on it is fenced.
-func (w *world) checkBeliefs() {
-	for _, l := range w.labels {
-		if s := w.nodes[l]; s.alive && !s.frozen && s.n.member.Entitled() && w.state.Lapsed(s.n.member.Lease()) {
-			w.fail("%s believes in its lease %d, which has run out", l, s.n.member.Lease())
-		}
-	}
-	w.at(50*loop.Millisecond, w.checkBeliefs)
-}
-
-// live lets the workers' own time pass between their reports.
-func (w *world) live() {
-	names := make([]string, 0, len(w.workers))
-	for name := range w.workers {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	for _, name := range names {
-		if x := w.workers[name]; !x.gone && !x.hanging {
-			x.w.Tick(w.now)
-		}
-	}
-	w.at(250*loop.Millisecond, w.live)
-}
-
 func (w *world) run(until loop.Micros) {
 	for len(w.queue) > 0 && w.queue[0].at <= until {
 		e := heap.Pop(&w.queue).(event)
