A start names the life of its host; a machine that shows nothing it was told is deaf

A start names the life of the process that it is meant for, and a refusal proves something only where that life alone ever had it. Frames of an earlier life of a peer are dropped and counted.

A report was taken for life and for room, whatever it showed. A machine now counts as heard by views that show its host's token; one that only reports is offered nothing, is asked nothing, and is given up after a lease and 8 s (loss: deaf). Copies of a dead machine's reports so keep it no longer than that either.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -70,6 +70,8 @@
 // Host is what this slice needs of the node around it.
 type Host struct {
 	Label string
+	// Life names this life of the process: no earlier or later one has the same.
+	Life loop.Micros
 	// MayAnswer tells whether reports may be answered, else where to send the worker.
 	MayAnswer func() (ok bool, coach string)
 	// MayStart tells whether new starts may be passed on.
@@ -217,7 +219,7 @@
 	if !c.Still || (v.NoticeAt == 0) != (r.NoticeS == nil) {
 		m.dirty = true
 	}
-	v.Name, v.Addr, v.Type, v.Zone, v.Spot, v.Host = r.Machine, r.Addr, r.Type, r.Zone, r.Spot, a.h.Label
+	v.Name, v.Addr, v.Type, v.Zone, v.Spot, v.Host, v.Life = r.Machine, r.Addr, r.Type, r.Zone, r.Spot, a.h.Label, a.h.Life
 	v.Seq = r.Seq
 	m.heard = now
 	if r.Token == m.token {
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -164,3 +164,22 @@
 		t.Fatal("a dropped start was taken on later")
 	}
 }
+
+// A host that was ended and is back at once knows nothing of the starts that its life before
+// passed on. It must not refuse them, since a refusal says that nothing will land.
+func TestStartForAnEarlierLife(t *testing.T) {
+	g := newRig()
+	g.a.h.Life = 2
+	token := g.beat(t, 1, 0).Token
+	g.beat(t, 2, token)
+	start := Start{Machine: "n-1", Session: 9, Task: "job-1/0", Attempt: 1, Expiry: g.now + 6*loop.Second, From: "a", Life: 1}
+	g.a.Start(start)
+	if len(g.drops) != 0 {
+		t.Fatalf("a start for another life is refused: %v", g.drops)
+	}
+	start.Life = 2
+	g.a.Start(start)
+	if len(g.drops) != 1 || g.drops[0].Life != 2 {
+		t.Fatalf("a start of another session is refused as %v, want once by life 2", g.drops)
+	}
+}
--- a/internal/agent/delta.go
+++ b/internal/agent/delta.go
@@ -108,8 +108,8 @@
 }
 
 // Delta is a machine's newer view, told by how it differs from one told before. It is of
-// use only to who has exactly that one: of the same host and session, and of the same
-// report and revision, since a host that began anew counts its revisions anew.
+// use only to who has exactly that one: of the same host, its life and the session, and of
+// the same report and revision, since a host that began anew counts its revisions anew.
 type Delta struct {
 	Name     string      `cbor:"1,keyasint"`
 	Session  uint64      `cbor:"2,keyasint"`
@@ -124,16 +124,17 @@
 	Gone     []int       `cbor:"11,keyasint,omitempty"` // places in the list before
 	New      []Placed    `cbor:"12,keyasint,omitempty"` // places in the list after
 	Pending  []Task      `cbor:"13,keyasint,omitempty"`
+	Life     loop.Micros `cbor:"14,keyasint,omitempty"`
 }
 
 // deltaTo tells v by how it differs from base; ok is false where only a full view will do.
 func (v *View) deltaTo(base *View) (d *Delta, ok bool) {
-	if base == nil || base.Host != v.Host || base.Session != v.Session || base.Addr != v.Addr {
+	if base == nil || base.Host != v.Host || base.Life != v.Life || base.Session != v.Session || base.Addr != v.Addr {
 		return nil, false
 	}
 	c := v.Since(base)
 	d = &Delta{Name: v.Name, Session: v.Session, BaseSeq: base.Seq, BaseRev: base.Rev, Seq: v.Seq, Rev: v.Rev, Settled: v.Settled,
-		At: v.At, NoticeAt: v.NoticeAt, Closed: v.Closed, Gone: c.Gone, Pending: v.Pending}
+		At: v.At, NoticeAt: v.NoticeAt, Closed: v.Closed, Gone: c.Gone, Pending: v.Pending, Life: v.Life}
 	for k, i := range c.From {
 		if i < 0 {
 			d.New = append(d.New, Placed{At: k, Task: v.Tasks[k]})
@@ -145,7 +146,7 @@
 // apply makes the view that a delta tells, from the view that it was told against; nil
 // where that is not this one, or the delta makes no sense.
 func (d *Delta) apply(base *View) *View {
-	if base == nil || base.Session != d.Session || base.Seq != d.BaseSeq || base.Rev != d.BaseRev {
+	if base == nil || base.Session != d.Session || base.Seq != d.BaseSeq || base.Rev != d.BaseRev || base.Life != d.Life {
 		return nil
 	}
 	kept := len(base.Tasks) - len(d.Gone)
--- a/internal/agent/start.go
+++ b/internal/agent/start.go
@@ -18,7 +18,7 @@
 		return // its record is on its way here; the start will tell
 	}
 	if why := a.refusal(m, s, j); why != "" {
-		a.h.Drop(s.From, Drop{Machine: s.Machine, Task: s.Task, Attempt: s.Attempt, Why: why, Reserve: true})
+		a.h.Drop(s.From, Drop{Machine: s.Machine, Task: s.Task, Attempt: s.Attempt, Why: why, Reserve: true, Life: a.h.Life})
 		return
 	}
 	m.reserved[key{s.Task, s.Attempt}] = a.r.Now() + 700*loop.Millisecond
@@ -82,10 +82,13 @@
 		if m != nil {
 			m.refused[k] = s.Expiry + a.h.ClockTo
 		}
-		a.h.Drop(s.From, Drop{Machine: s.Machine, Task: s.Task, Attempt: s.Attempt, Why: why})
+		a.h.Drop(s.From, Drop{Machine: s.Machine, Task: s.Task, Attempt: s.Attempt, Why: why, Life: a.h.Life})
 	}
-	if m == nil {
-		return // the owner hears of the new host and sends it there, until the start expires
+	if m == nil || s.Life != a.h.Life {
+		// The owner hears of the new host, or of its new life, and sends it there until the
+		// start expires. What an earlier life has passed on is not known here: to refuse it
+		// now was once taken for proof that it never would land.
+		return
 	}
 	if m.view.Find(s.Task, s.Attempt) != nil || m.pending[k] != nil {
 		return
--- a/internal/agent/view.go
+++ b/internal/agent/view.go
@@ -41,6 +41,7 @@
 	Closed   bool        `cbor:"13,keyasint,omitempty"` // takes no starts, since it is to be deleted
 	Tasks    []Task      `cbor:"14,keyasint,omitempty"`
 	Pending  []Task      `cbor:"15,keyasint,omitempty"` // starts that may still be carried out
+	Life     loop.Micros `cbor:"16,keyasint,omitempty"` // which life of its host's process tells this
 
 	jobs     []*job.Job // of Tasks, looked up once; a published view never changes
 	used     Room       // what its tasks and pending starts take
@@ -140,6 +141,9 @@
 	Attempt uint64      `cbor:"4,keyasint"`
 	Expiry  loop.Micros `cbor:"5,keyasint"` // time of day after which nobody may carry it out
 	From    string      `cbor:"6,keyasint"`
+	// Life is the life of the host's process that it is meant for. A host that was ended and
+	// is back within a moment remembers nothing of what it passed on before.
+	Life loop.Micros `cbor:"7,keyasint,omitempty"`
 }
 
 // Stop asks for a task to be stopped, with time to save or without.
@@ -160,6 +164,8 @@
 	Attempt uint64 `cbor:"3,keyasint"`
 	Why     string `cbor:"4,keyasint"`
 	Reserve bool   `cbor:"5,keyasint,omitempty"`
+	// Life is the life of the host's process that says so, and that will never pass it on.
+	Life loop.Micros `cbor:"6,keyasint,omitempty"`
 }
 
 // SplitTask takes a task's name apart.
--- a/internal/gate/place.go
+++ b/internal/gate/place.go
@@ -14,7 +14,7 @@
 	LackKnown    Lack = 1 << iota // its type, or a job on it, is not known here yet
 	LackNotice                    // the cloud takes it away
 	LackDraining                  // it is to be given back or replaced
-	LackHeard                     // it was not heard lately
+	LackHeard                     // it was not heard lately, or does not show its host's token: what is sent may not reach it
 	LackRested                    // it rests
 	LackCordon                    // an operator keeps starts off it
 	LackCPUs
@@ -89,7 +89,7 @@
 		}
 	}
 	add(LackKnown, !p.Known)
-	add(LackHeard, p.Heard < after)
+	add(LackHeard, p.Heard < after || !p.V.Settled)
 	add(LackRested, now < p.Shut)
 	if l != 0 && !all {
 		return l
--- a/internal/loss/loss.go
+++ b/internal/loss/loss.go
@@ -27,10 +27,11 @@
 	OutOfWay              // no connection comes about, and nothing tells it from a cut on the way
 	Dead                  // no connection comes about, while its neighbours answer
 	Lost                  // nothing on it can be saved any more
+	Deaf                  // its reports come in, and show nothing of what it was told
 )
 
 func (s State) String() string {
-	return [...]string{"heard", "late", "alive", "hung", "outOfWay", "dead", "lost"}[s]
+	return [...]string{"heard", "late", "alive", "hung", "outOfWay", "dead", "lost", "deaf"}[s]
 }
 
 // Word is what came of asking a machine directly.
@@ -46,8 +47,8 @@
 
 func (w Word) String() string { return [...]string{"none", "answered", "mute", "noWay"}[w] }
 
-// stray is for how long a machine may answer while its reports reach nobody: as long as
-// one that is out of sight is left. A worker that nobody answers has found another node by
+// stray is for how long a machine may answer while its reports reach nobody, or report
+// while it is deaf: as long as one that is out of sight is left. A worker that nobody answers has found another node by
 // then, or ended its tasks; one that is answered has a host that is cut off from the rest,
 // and what runs there is neither seen nor stopped. After that it is given up, whatever
 // comes of it: a machine is neither used nor given up for no longer than this.
@@ -73,8 +74,10 @@
 // Facts are what is known of a machine at a look.
 type Facts struct {
 	Name, Zone, Addr string
-	Heard            loop.Micros
-	Failed           bool // the cloud lists it as failed
+	// Heard is when a report of it last showed that it hears, Told when any came. One that
+	// only tells may be deaf, or gone: copies of its reports may come for long after it.
+	Heard, Told loop.Micros
+	Failed      bool // the cloud lists it as failed
 	// Worth is for how much longer it is better left alone, since its zone is cut off or
 	// was until now: what it takes to have another in its place.
 	Worth loop.Micros
@@ -236,6 +239,18 @@
 	if j.r.Most > 0 && silence > j.r.Most {
 		return "silent"
 	}
+	if m.Told > m.Heard && s.Now-m.Told <= max(j.r.late(), unanswered) {
+		// Its worker's lease runs out, and what it runs ends with that, again and again. One
+		// that hears again before is as good as before; asking it would tell nothing.
+		j.setState(m, Deaf, "it reports, and shows nothing of what it was told")
+		if s.Now-m.Heard > j.r.stray()+m.Worth {
+			return "hears nobody"
+		}
+		return ""
+	}
+	if m.state == Deaf {
+		j.setState(m, Late, "no report")
+	}
 	z := j.zones[m.Zone]
 	over := j.r.leaseOver()
 	switch m.word {
@@ -269,6 +284,10 @@
 }
 
 const (
+	// unanswered is the longest time between two reports of a worker that nobody answers: it
+	// waits 4 s, and tries the next node a second later. What is silent for less may be deaf,
+	// and is not called dead for not taking connections; nor is what was deaf when last heard of.
+	unanswered = 6 * loop.Second
 	// several is how many machines of a zone must have fallen together for one vain
 	// attempt at each to do: they bear each other out.
 	several = 5
@@ -283,7 +302,7 @@
 // it must have been asked since the zone came into sight. What was asked in vain during a
 // cut says nothing once the cut is over.
 func (j *Judge) dead(now loop.Micros, m *machine, z *zone) bool {
-	if z.heard == 0 || z.unheard || z.open == 0 || now-z.nearAt > nearFresh || m.asked < z.open || m.asking {
+	if z.heard == 0 || z.unheard || z.open == 0 || now-z.nearAt > nearFresh || m.asked < z.open || m.asking || now-m.Heard < unanswered || m.Told > m.Heard {
 		return false
 	}
 	return m.times >= 2 || z.noWay >= several
@@ -296,7 +315,7 @@
 		return
 	}
 	for _, m := range silent {
-		if m.state == Lost || m.asking || m.Addr == "" || s.Now-m.asked < again && m.word != None {
+		if m.state == Lost || m.state == Deaf || m.asking || m.Addr == "" || s.Now-m.asked < again && m.word != None {
 			continue
 		}
 		if m.word == NoWay {
--- a/internal/loss/loss_test.go
+++ b/internal/loss/loss_test.go
@@ -22,13 +22,14 @@
 	well truth = iota
 	hangs
 	stopped
+	deaf // it reports to one node after another, and nothing reaches it
 )
 
 type real struct {
 	name, zone  string
 	is          truth
 	since, back loop.Micros // when it became so, and when it goes on; 0: never
-	heard       loop.Micros
+	heard, told loop.Micros
 	wellAt      loop.Micros // when it went on
 	lostAt      loop.Micros
 	why         string
@@ -73,7 +74,7 @@
 		y.probes++
 		a := answer{y.now + 5*loop.Millisecond, done, Answered}
 		switch r := y.byName[addr]; {
-		case y.cutOff || r.is == stopped || y.now < y.cut[r.zone]:
+		case y.cutOff || r.is == stopped || r.is == deaf || y.now < y.cut[r.zone]:
 			a.w, a.at = NoWay, y.now+loop.Second
 		case r.is == hangs:
 			a.w, a.at = Mute, y.now+loop.Second
@@ -111,13 +112,23 @@
 				r.is, r.back, r.wellAt = well, 0, y.now
 			}
 			if r.is == well && r.lostAt == 0 && y.now >= y.cut[r.zone] && y.now >= r.stray && (y.now/step+loop.Micros(i))%(y.rules.Report/step) == 0 {
-				r.heard = y.now
+				r.heard, r.told = y.now, y.now
+			}
+			// The first report that is not answered shows its host's token still; the next come
+			// 4 s and 1 s later, each at another host.
+			if r.is == deaf && r.lostAt == 0 && y.now >= y.cut[r.zone] {
+				switch regular := (y.now/step+loop.Micros(i))%(y.rules.Report/step) == 0; {
+				case r.heard <= r.since && regular:
+					r.heard, r.told = y.now, y.now
+				case r.heard > r.since && (y.now-r.heard)%(5*loop.Second) < step:
+					r.told = y.now
+				}
 			}
 		}
 		for _, v := range y.j.Look(Scene{Now: y.now, Blind: y.blind}, func(yield func(*Facts)) {
 			for _, r := range y.all {
 				if r.lostAt == 0 {
-					yield(&Facts{Name: r.name, Zone: r.zone, Addr: r.name, Heard: r.heard})
+					yield(&Facts{Name: r.name, Zone: r.zone, Addr: r.name, Heard: r.heard, Told: r.told})
 				}
 			}
 		}) {
@@ -208,7 +219,7 @@
 			if rapid.Bool().Draw(t, "comes back") {
 				back = y.now + loop.Micros(rapid.IntRange(1, 40).Draw(t, "seconds"))*loop.Second
 			}
-			if is := truth(rapid.IntRange(0, 2).Draw(t, "is")); is == well {
+			if is := truth(rapid.IntRange(0, 3).Draw(t, "is")); is == well {
 				y.cut[fmt.Sprint("z", rapid.IntRange(0, zones-1).Draw(t, "zone"))] = y.now + loop.Micros(rapid.IntRange(1, 60).Draw(t, "cut"))*loop.Second
 			} else {
 				if is == stopped {
@@ -236,6 +247,10 @@
 			case r.is == well && r.inCut && silence > y.rules.Lease+y.rules.Out:
 			case r.is == well:
 				t.Fatalf("%s is well, and lost as %q: silent for %d us, well for %d us", r.name, r.why, silence, r.lostAt-r.wellAt)
+			case r.is == deaf && silence <= y.rules.Lease:
+				t.Fatalf("%s is deaf, and is lost as %q after %d us", r.name, r.why, silence)
+			case r.why == "hears nobody" && r.is != deaf:
+				t.Fatalf("%s is called deaf, and is %v", r.name, r.is)
 			case r.is == hangs && silence <= y.rules.Lease:
 				t.Fatalf("%s hangs, and is lost as %q after %d us", r.name, r.why, silence)
 			case r.why == "dead" && r.is != stopped:
@@ -294,6 +309,37 @@
 	}
 }
 
+// Machines that report and hear nothing are asked nothing, are not called dead, and are given
+// up when they have been deaf for as long as is stated; those that hear again before, and
+// those that were deaf for two seconds, are lost to nobody. A whole zone of them is no cut.
+func TestDeafMachines(t *testing.T) {
+	for _, report := range []loop.Micros{loop.Second, 3 * loop.Second, 5 * loop.Second} {
+		y := newYard(2, 40)
+		y.rules.Report = report
+		y.j.r.Report = report
+		y.run(10 * loop.Second)
+		y.fall(deaf, y.now+2*loop.Second, y.all[:10]...)
+		y.fall(deaf, y.now+y.rules.stray()-2*report-loop.Second, y.all[10:20]...)
+		y.fall(deaf, 0, y.all[40:]...)
+		y.run(15 * loop.Second)
+		n := 0
+		y.j.Doubtful(y.now, func(string) { n++ })
+		if n != 50 {
+			t.Errorf("reports each %d us: %d of 50 deaf machines count as coming back", report, n)
+		}
+		y.run(40 * loop.Second)
+		for i, r := range y.all {
+			took := r.lostAt - r.heard
+			if i < 40 && r.lostAt != 0 {
+				t.Errorf("reports each %d us: %s is lost as %q after %d us", report, r.name, r.why, took)
+			}
+			if i >= 40 && (r.why != "hears nobody" || took < y.rules.stray() || took > y.rules.stray()+loop.Second) {
+				t.Errorf("reports each %d us: %s is lost as %q after %d us", report, r.name, r.why, took)
+			}
+		}
+	}
+}
+
 // A node that hears nobody judges nobody.
 func TestBlind(t *testing.T) {
 	y := newYard(1, 10)
--- a/internal/loss/moment.go
+++ b/internal/loss/moment.go
@@ -90,7 +90,7 @@
 }
 
 func (m *machine) doubtful() bool {
-	return m.state == Late || m.state == Hung || m.state == OutOfWay || m.state == Dead
+	return m.state == Late || m.state == Hung || m.state == OutOfWay || m.state == Dead || m.state == Deaf
 }
 
 // Doubtful calls f for the machines that may come back with all their room, while many
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -38,6 +38,7 @@
 	doubtful prometheus.Gauge
 	moments  *prometheus.HistogramVec
 	reruns   prometheus.Histogram
+	earlier  prometheus.Counter
 }
 
 // Seconds from a millisecond to an hour, and from a tenth of a millisecond to seconds.
@@ -89,6 +90,7 @@
 		Help: "Machines that fell silent together, and those of them that were lost.", Buckets: prometheus.ExponentialBuckets(5, 2, 11)}, []string{"what"})
 	m.reg.MustRegister(m.doubtful, m.moments)
 	m.reruns = histogram("rerun_seconds", "From the last word of a machine that was lost until a task of it ran again.", longBuckets)
+	m.earlier = counter("earlier_frames_total", "Frames dropped since an earlier life of a peer's process had sent them.")
 	m.reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -117,6 +119,13 @@
 	}
 }
 
+// EarlierFrame counts a frame that an earlier life of a peer had sent.
+func (m *Meter) EarlierFrame() {
+	if m != nil {
+		m.earlier.Inc()
+	}
+}
+
 // Start counts a start that was handed on.
 func (m *Meter) Start() {
 	if m != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -124,8 +124,11 @@
 	n.reach = reach.New(l, log, cfg.Label, n.net.Peers(), loop.Micros(cfg.Cluster.ClockOffMS*2000))
 	n.reach.Contact = n.contact
 	n.reach.Changed = func(_ string, to reach.State, damped bool) { n.meter.Peer(to.String(), damped) }
+	n.net.Life, n.net.ClockTo = l.Wall(), loop.Micros(cfg.Cluster.ClockOffMS*2000)
+	n.net.Earlier = func(string) { n.meter.EarlierFrame() }
 	n.agent = agent.New(l, log, agent.Host{
 		Label:     cfg.Label,
+		Life:      n.net.Life,
 		MayAnswer: n.mayAnswer,
 		MayStart:  n.mayStart,
 		SendOn:    n.sendOn,
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -130,6 +130,8 @@
 	Lost   []string       `cbor:"17,keyasint,omitempty"`
 	// Places are those of users who were put off, so that their next try keeps them.
 	Places []admission.Place `cbor:"18,keyasint,omitempty"`
+	// Life is the time of day at which the sender's process began.
+	Life loop.Micros `cbor:"19,keyasint,omitempty"`
 }
 
 const (
@@ -154,6 +156,7 @@
 type Known struct {
 	Status Status
 	Heard  loop.Micros // steady time
+	life   loop.Micros // the newest life of its process that was heard
 }
 
 // Net holds the links to all peers.
@@ -163,6 +166,11 @@
 	self  string
 	links map[string]*link
 	known map[string]*Known
+	// Life is when this process began, by the time of day, and ClockTo twice the bound on
+	// that: two lives of a peer that lie closer together are not told apart by their order.
+	Life, ClockTo loop.Micros
+	// Earlier is called for a frame that an earlier life of a peer has sent; it may be nil.
+	Earlier func(label string)
 	// Receive is called on the loop for every frame of a known peer.
 	Receive func(*Envelope)
 	// Refused is called on the loop when a peer's machine refuses the connection,
@@ -258,6 +266,14 @@
 	if k == nil {
 		return
 	}
+	if e.Life+n.ClockTo < k.life {
+		// Held back on its way: what that life knew and wanted ended with it.
+		if n.Earlier != nil {
+			n.Earlier(e.From)
+		}
+		return
+	}
+	k.life = max(k.life, e.Life)
 	if e.Status != nil && e.Status.Wall > k.Status.Wall {
 		k.Status, k.Heard = *e.Status, n.r.Now()
 	}
@@ -330,7 +346,7 @@
 
 func (n *Net) flush(l *link) {
 	l.waiting = false
-	l.next.From = n.self
+	l.next.From, l.next.Life = n.self, n.Life
 	// Of several views of a machine only the newest says anything.
 	if len(l.next.Views) > 1 {
 		last := map[string]int{}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -230,8 +230,8 @@
 	if x.state != Placed {
 		return
 	}
-	// Proof only if no other host was ever given this start.
-	if x.ours && !x.spread && x.sentTo == from && !x.seen {
+	// Proof only if no other host was ever given this start, and no other life of this one.
+	if x.ours && !x.spread && x.sentTo == from && x.life == d.Life && !x.seen {
 		p.shut(d.Machine)
 		p.off(t, i, "dropped: "+d.Why)
 		p.Kick()
@@ -255,14 +255,14 @@
 		}
 		return
 	}
-	if x.sentTo != "" && x.sentTo != v.Host {
+	if x.sentTo != "" && (x.sentTo != v.Host || x.life != v.Life) {
 		x.spread = true
 	}
 	if x.sentTo == "" {
 		p.n.Meter.Start()
 	}
-	x.sentTo, x.sentAt = v.Host, p.r.Now()
-	p.n.Start(v.Host, agent.Start{Machine: x.machine, Session: x.session, Task: t.name(i), Attempt: x.attempt, Expiry: x.expiry, From: p.n.Label})
+	x.sentTo, x.life, x.sentAt = v.Host, v.Life, p.r.Now()
+	p.n.Start(v.Host, agent.Start{Machine: x.machine, Session: x.session, Task: t.name(i), Attempt: x.attempt, Expiry: x.expiry, From: p.n.Label, Life: v.Life})
 }
 
 // maybeDone stores a job's completion once all its tasks have completed.
--- /dev/null
+++ b/internal/placer/proof_test.go
@@ -0,0 +1,92 @@
+package placer
+
+import (
+	"testing"
+
+	"cleatpick/internal/agent"
+	"cleatpick/internal/config"
+	"cleatpick/internal/job"
+	"cleatpick/internal/loop"
+)
+
+// tell lets a machine be heard from one life of its host; settled: it shows what it was told.
+func (g *rig) tell(life loop.Micros, session uint64, settled bool, tasks ...agent.Task) {
+	g.seq++
+	g.a.Learn(&agent.View{Name: "n-001", Type: "m8", Zone: "x", Host: "b", Life: life, Session: session, Seq: g.seq, Settled: settled, At: g.Now(), Tasks: tasks})
+}
+
+// A refusal proves a start off only where the life of the host that refuses is the only one
+// that ever had it. A host that was ended and was back at once refused, for want of room or
+// contact, what its earlier life had passed on a moment before; and a refusal of that life,
+// held back on its way, came after the start was given to the new one.
+func TestRefusalOfAnotherLife(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		moved bool        // the host's new life is heard of, and the start sent there
+		says  loop.Micros // which life refuses
+		frees bool
+	}{{"the life that has it", false, 1, true}, {"a life that never had it", false, 2, false},
+		{"the earlier of two", true, 1, false}, {"the later of two", true, 2, false}} {
+		g := newRig(100, config.Team{Name: "red", CPUs: 8, CPUsMax: 8})
+		g.tell(1, 1, true)
+		g.job(1, job.Spec{Team: "red", Tasks: 1, CPUs: 2, AnyType: true, Estimate: loop.Second})
+		g.Run(500 * loop.Millisecond)
+		if len(g.starts) != 1 || g.starts[0].Life != 1 {
+			t.Fatalf("%s: started %+v, want one start for life 1", c.name, g.starts)
+		}
+		if c.moved {
+			g.tell(2, 1, true)
+			g.Run(1500 * loop.Millisecond)
+			if n := len(g.starts); n < 2 || g.starts[n-1].Life != 2 {
+				t.Fatalf("%s: the start is not sent to the new life: %+v", c.name, g.starts)
+			}
+		}
+		s := g.starts[0]
+		before := len(g.starts)
+		g.p.Drop("b", agent.Drop{Machine: s.Machine, Task: s.Task, Attempt: s.Attempt, Why: "full", Life: c.says})
+		g.Run(2 * loop.Second)
+		freed := len(g.starts) > before && g.starts[len(g.starts)-1].Attempt > s.Attempt
+		if freed != c.frees {
+			t.Errorf("%s: placed again %v, want %v", c.name, freed, c.frees)
+		}
+	}
+}
+
+// A machine whose reports come and show nothing of what it was told is offered nothing, and
+// what ran on it runs again once its session is over, and not before.
+func TestDeafMachineIsOfferedNothing(t *testing.T) {
+	g := newRig(100, config.Team{Name: "red", CPUs: 8, CPUsMax: 8})
+	for range 4 { // it reports in vain, at one node after another
+		g.tell(1, 1, false)
+		g.Run(loop.Second)
+	}
+	g.job(1, job.Spec{Team: "red", Tasks: 2, CPUs: 2, AnyType: true, Estimate: loop.Second})
+	g.Run(2 * loop.Second)
+	if len(g.starts) != 0 {
+		t.Fatalf("%d starts are sent to a machine that shows none of what it is told", len(g.starts))
+	}
+	g.tell(1, 1, true)
+	g.Run(loop.Second)
+	if len(g.starts) != 2 {
+		t.Fatalf("%d starts once it hears, want 2", len(g.starts))
+	}
+	g.starts = nil
+	on := []agent.Task{{Task: "job-000001/0", Attempt: 1, State: "running"}, {Task: "job-000001/1", Attempt: 1, State: "running"}}
+	g.tell(1, 1, true, on...)
+	g.Run(loop.Second)
+	for range 10 {
+		g.tell(1, 1, false, on...)
+		g.Run(loop.Second)
+	}
+	g.show("n-002", "m8", "x", false)
+	g.Run(loop.Second)
+	if len(g.starts) != 0 {
+		t.Fatalf("started again while the session may last: %+v", g.starts)
+	}
+	g.seq = 1000
+	g.tell(1, 2, false) // its lease ran out
+	g.Run(loop.Second)
+	if len(g.starts) != 2 || g.starts[0].Machine != "n-002" {
+		t.Fatalf("after its session %+v, want both tasks on n-002", g.starts)
+	}
+}
--- a/internal/placer/table.go
+++ b/internal/placer/table.go
@@ -41,7 +41,8 @@
 	expiry  loop.Micros // time of day after which nobody carries the start out
 	ours    bool        // recorded in this ownership: we know where the start was sent
 	sentTo  string      // the only host that it was sent to
-	spread  bool        // it was sent to more than one host
+	life    loop.Micros // and the only life of that host's process
+	spread  bool        // it was sent to more than one host, or to more than one life
 	sentAt  loop.Micros
 	chosen  loop.Micros // when its machine was chosen
 	failed  bool        // the attempt before ended in an error
@@ -215,7 +216,7 @@
 		}
 	}
 	if s == Waiting && was != Waiting {
-		x.seen, x.pending, x.ours, x.sentTo, x.spread, x.sentAt, x.stopAt = false, false, false, "", false, 0, 0
+		x.seen, x.pending, x.ours, x.sentTo, x.life, x.spread, x.sentAt, x.stopAt = false, false, false, "", 0, false, 0, 0
 		if x.failed {
 			t.late = append(t.late, i)
 		} else {
--- a/internal/rental/machine.go
+++ b/internal/rental/machine.go
@@ -33,7 +33,8 @@
 	spot     bool
 	state    MachineState
 	since    loop.Micros // when it was rented, as far as known
-	heard    loop.Micros // 0: never by this leader
+	heard    loop.Micros // when it last showed that it hears; 0: it never told this leader anything
+	told     loop.Micros // when any report of it came
 	listed   string      // the cloud's word for it
 	emptyTo  loop.Micros // end of its standby; 0: not empty
 	why      string
@@ -93,7 +94,9 @@
 	if m == nil {
 		return
 	}
-	m.heard = t.r.Now()
+	if m.told = t.r.Now(); v.Settled || m.heard == 0 {
+		m.heard = m.told
+	}
 	if m.state == Booting {
 		if typ, ok := t.byName[m.typ]; ok && typ.BootS > 0 && m.rented {
 			// In boot times, so that types can share what is known: one is a second.
@@ -183,7 +186,7 @@
 			if m.state != Up && m.state != Draining && m.state != Closing {
 				continue
 			}
-			f := loss.Facts{Name: m.name, Zone: m.zone, Heard: m.heard, Failed: m.listed == "failed", Worth: worth(m)}
+			f := loss.Facts{Name: m.name, Zone: m.zone, Heard: m.heard, Told: m.told, Failed: m.listed == "failed", Worth: worth(m)}
 			if v := t.agent.View(m.name); v != nil {
 				f.Addr = v.Addr
 			}
--- a/internal/rental/rental_test.go
+++ b/internal/rental/rental_test.go
@@ -73,7 +73,7 @@
 }
 
 func (g *rig) hear(name, zone string) {
-	g.a.Learn(&agent.View{Name: name, Addr: name, Type: "m8", Zone: zone, Host: "b", Session: 1, Seq: uint64(g.Now()), At: g.Now(), Tasks: g.runs})
+	g.a.Learn(&agent.View{Name: name, Addr: name, Type: "m8", Zone: zone, Host: "b", Session: 1, Seq: uint64(g.Now()), Settled: true, At: g.Now(), Tasks: g.runs})
 }
 
 func count(calls []string, part string) (n int) {
@@ -147,7 +147,7 @@
 	g.Run(3 * loop.Second)
 	seen := false
 	for range 4000 {
-		v := &agent.View{Name: "n-900000", Type: "m8", Zone: "x", Host: "b", Session: 1, Seq: uint64(g.Now()), At: g.Now()}
+		v := &agent.View{Name: "n-900000", Type: "m8", Zone: "x", Host: "b", Session: 1, Seq: uint64(g.Now()), Settled: true, At: g.Now()}
 		v.Closed = len(closed) > 0 && seen
 		seen = len(closed) > 0
 		g.a.Learn(v)
