No job is passed over at every poll: whose questions wait longest go first

A poll beyond the line was told 429 whoever asked, so that nothing kept one job from being unlucky each time. Since when questions about a job went unanswered is kept (one entry for each unfinished job), the line is in that order, and the youngest gives way. A job that a comparison found changed is not compared again before its news is here: its askers hold a quarter of the places, and reads and comparisons take turns.

--- a/internal/job/inquiry.go
+++ b/internal/job/inquiry.go
@@ -50,6 +50,7 @@
 	id    string
 	asker Asker
 	cb    []func(Answer)
+	first loop.Micros // since when questions about it are unanswered
 	dead  loop.Micros
 	told  bool
 	mark  uint64 // that it was compared with
@@ -59,10 +60,13 @@
 type inquiries struct {
 	waiting map[string]*inquiry
 	lines   [askers][]*inquiry
-	pace    loop.Micros // from one comparison to the next, lately
-	sent    loop.Micros // when the newest was; 0: nothing waited since
-	stale   []*inquiry  // found changed; the news is waited for, or read
+	owed    owed
+	pace    loop.Micros         // from one comparison to the next, lately
+	sent    loop.Micros         // when the newest was; 0: nothing waited since
+	stale   []*inquiry          // found changed; the news is waited for, or read, though all who asked gave up
+	behind  map[string]*inquiry // of these, by job
 	reading int
+	turn    bool                  // a comparison has come back since the newest read: they go in turns
 	flying  map[*inquiry]struct{} // being compared or read
 	users   int                   // that wait for an answer
 	busy    bool
@@ -85,24 +89,66 @@
 	}
 	q := &b.asked
 	x := q.waiting[id]
-	if as != Writer && (q.users >= q.most || x == nil && (q.full(as) || q.wait(b.txnOps*4) > patience)) {
+	now := b.r.Now()
+	first := q.owed.since(id, now)
+	if y := q.behind[id]; y != nil && as != Writer {
+		// Compared before its news is here, it would only be found changed once more. All who
+		// wait for such news hold a quarter of the places.
+		if q.users >= q.most || !y.told && len(y.cb) > q.most/4/len(q.stale) {
+			b.c.Meter.Poll("refused")
+			q.owed[id] = first
+			cb(Answer{Code: 429, ID: id, After: q.after(b.txnOps * 4)})
+			return
+		}
+		if y.told {
+			y.told, y.cb, y.dead = false, nil, now+patience
+			q.flying[y] = struct{}{}
+		}
+		y.cb = append(y.cb, cb)
+		q.users++
+		return
+	}
+	if as == Known && x == nil && b.crowded(as, first < now) {
+		if y := q.youngest(first); y != nil {
+			b.settle(y, Answer{Code: 429, ID: y.id, After: q.after(b.txnOps * 4)})
+		}
+	}
+	if as != Writer && (q.places(x == nil && first < now) || x == nil && b.crowded(as, first < now)) {
 		b.c.Meter.Poll("refused")
+		if as == Known && x == nil {
+			q.owed[id] = first
+		}
 		cb(Answer{Code: 429, ID: id, After: q.after(b.txnOps * 4)})
 		return
 	}
 	if x == nil {
-		x = &inquiry{id: id, asker: as, dead: b.r.Now() + patience}
+		x = &inquiry{id: id, asker: as, first: first, dead: now + patience}
 		q.waiting[id] = x
-		q.lines[as] = append(q.lines[as], x)
+		q.join(x)
 	} else if as < x.asker {
 		x.asker = as
-		q.lines[as] = append(q.lines[as], x) // its place in the other line is passed over
+		q.join(x) // its place in the other line is passed over
 	}
 	x.cb = append(x.cb, cb)
 	q.users++
 	b.pumpInquiries()
 }
 
+// places tells whether all places are taken; a quarter as many are left beside them for jobs
+// about which questions went unanswered.
+func (q *inquiries) places(owed bool) (full bool) {
+	if owed {
+		return q.users >= q.most+q.most/4
+	}
+	return q.users >= q.most
+}
+
+// crowded tells whether there is no place for one more job, or none in time.
+func (b *Book) crowded(as Asker, owed bool) bool {
+	q := &b.asked
+	return q.places(owed) || q.full(as) || q.wait(b.txnOps*4) > patience
+}
+
 func (q *inquiries) full(as Asker) bool {
 	return len(q.waiting) >= mostAsked || as == Stranger && len(q.lines[Stranger]) >= mostStrange
 }
@@ -125,6 +171,7 @@
 		return
 	}
 	x.told = true
+	b.asked.owed.told(x, a)
 	if b.asked.waiting[x.id] == x {
 		delete(b.asked.waiting, x.id)
 	}
@@ -169,12 +216,16 @@
 		if o := q.waiting[x.id]; o != nil {
 			// Others asked meanwhile: what they need serves these too.
 			o.cb = append(o.cb, x.cb...)
-			o.dead = min(o.dead, x.dead)
+			o.dead, o.first = min(o.dead, x.dead), min(o.first, x.first)
 			x.told = true
 			continue
 		}
 		q.waiting[x.id] = x
-		q.lines[x.asker] = append([]*inquiry{x}, q.lines[x.asker]...)
+		if x.asker == Known {
+			q.join(x)
+		} else {
+			q.lines[x.asker] = append([]*inquiry{x}, q.lines[x.asker]...)
+		}
 	}
 }
 
@@ -224,6 +275,7 @@
 
 // compared takes in what came of a comparison.
 func (b *Book) compared(batch []*inquiry, r store.Result) {
+	b.asked.turn = true
 	failed := map[string]bool{}
 	switch r.Outcome {
 	case store.Applied, store.Conflict:
@@ -245,7 +297,11 @@
 		case failed[x.id] && x.asker == Writer:
 			b.fetch(x.id, func(a Answer) { b.settle(x, a) })
 		case failed[x.id]:
-			b.asked.stale = append(b.asked.stale, x)
+			if x.told || b.asked.behind[x.id] != nil {
+				b.settle(x, Answer{Code: 503, ID: x.id})
+				continue
+			}
+			b.asked.stale, b.asked.behind[x.id] = append(b.asked.stale, x), x
 		case x.mark == 0:
 			b.settle(x, Answer{Code: 404, ID: x.id})
 		default:
@@ -261,13 +317,14 @@
 	var news []*inquiry
 	q.stale = slices.DeleteFunc(q.stale, func(x *inquiry) bool {
 		switch {
-		case x.told:
-			return true
 		case b.mark(x.id) != x.mark:
+			delete(q.behind, x.id)
 			news = append(news, x)
 			return true
-		case q.reading < mostReads:
+		case q.reading < mostReads && (q.turn || len(q.waiting) == 0):
 			q.reading++
+			q.turn = false
+			delete(q.behind, x.id)
 			b.read(store.Inquiries, x.id, func(a Answer) {
 				q.reading--
 				b.settle(x, a)
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -150,7 +150,7 @@
 // NewBook makes the book.
 func NewBook(r loop.Runner, c *store.Client, m *store.Mirror, log *slog.Logger, txnOps int) *Book {
 	b := &Book{r: r, c: c, m: m, log: log, txnOps: txnOps, jobs: map[string]*Job{}, bad: map[string]bool{},
-		creates: map[string]*pendingCreate{}, asked: inquiries{waiting: map[string]*inquiry{}, flying: map[*inquiry]struct{}{}, most: mostUsers}}
+		creates: map[string]*pendingCreate{}, asked: inquiries{owed: owed{}, behind: map[string]*inquiry{}, waiting: map[string]*inquiry{}, flying: map[*inquiry]struct{}{}, most: mostUsers}}
 	m.On(Keys, b.learn)
 	b.Admit(func(string) float64 { return 1 }, 40)
 	loop.Every(r, 250*loop.Millisecond, b.expire)
@@ -183,6 +183,9 @@
 	} else {
 		j.Tasks = rec.Tasks
 	}
+	if j.Final() {
+		delete(b.asked.owed, id)
+	}
 	j.Terms = Terms{}
 	if rec.Terms != nil {
 		j.Terms = *rec.Terms
@@ -202,8 +205,9 @@
 	return false
 }
 
-// MostAsking bounds the users that may wait to be told of a job's state: each holds a
-// connection, and some must be left to submissions.
+// MostAsking bounds the users that may wait to be told of a job's state, but for a quarter as
+// many about whose jobs questions went unanswered: each holds a connection, and some must be
+// left to submissions.
 func (b *Book) MostAsking(n int) { b.asked.most = min(max(n, 1), mostUsers) }
 
 // Admit sets by what weights teams share what is taken, and how many submissions a second
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -118,7 +118,7 @@
 		t, _ := cfg.TeamNamed(team)
 		return cfg.Quota(t).Weight
 	}, cfg.Cluster.State.WriteRPS*0.45/float64(nodes))
-	n.book.MostAsking(cfg.Cluster.Limits.MaxSockets / 4)
+	n.book.MostAsking(cfg.Cluster.Limits.MaxSockets / 5)
 	n.cordons = cordon.NewBook(l, n.client, n.mirror, log, loop.Micros(cfg.Cluster.ClockOffMS*2000))
 	n.net = peer.New(l, log, cfg.Label, cfg.Known)
 	n.reach = reach.New(l, log, cfg.Label, n.net.Peers(), loop.Micros(cfg.Cluster.ClockOffMS*2000))
