--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -113,6 +113,14 @@
 	w.tasks = nil
 }
 
+// Restart ends everything on the machine and begins anew, in a next session that has seen no
+// token.
+func (w *Worker) Restart(now loop.Micros) {
+	w.Destroy()
+	w.session++
+	w.seq, w.token, w.held = 0, 0, now
+}
+
 // Report describes the machine now.
 func (w *Worker) Report() wire.Report {
 	w.seq++
