--- /dev/null
+++ b/internal/floor/floor.go
@@ -0,0 +1,133 @@
+// Package floor decides which waiting work goes before its turn, so that no class, no team
+// without a guarantee and no job of any size waits without bound while others never stop
+// coming. It decides on facts that its caller hands it, and does nothing itself.
+//
+// The order of service puts urgent work first, then guarantees, then what is small. Each of
+// these can go on for ever, and what comes after them would not begin at all. So a small
+// part of the room that falls free is given by another rule: of the jobs that have waited for
+// some time, the one goes first that has got nothing by it for longest, classes in turn.
+package floor
+
+import (
+	"cmp"
+	"slices"
+
+	"cleatpick/internal/loop"
+)
+
+const (
+	// After is how long after its acceptance a job with waiting tasks goes before its turn.
+	After = 75 * loop.Second
+	// Part is the part of the CPUs that fall free that is given by this rule.
+	Part = 0.08
+	// saved is for how long of that part may be saved up while nobody waits so long.
+	saved = 10 * loop.Second
+	// piece is the part of its waiting tasks that a job gets at a time; more of a job's
+	// class that wait as long share it.
+	piece = 8
+	// most bounds what is picked at a time.
+	most = 32
+)
+
+// Waiter is a job of which tasks wait.
+type Waiter struct {
+	ID    string
+	Class string      // with its team: classes have turns
+	At    loop.Micros // steady time at which it was accepted
+	Since loop.Micros // when it last got something before its turn; At, if it never did
+	Tasks int         // that wait, and that its gates let on
+	CPUs  float64     // of each
+}
+
+// Pick is a job that goes before its turn, with so many tasks.
+type Pick struct {
+	At    int // its place in the list of waiters
+	Tasks int
+}
+
+// Floor keeps what may be given before its turn, in CPUs, and the turns of the classes.
+type Floor struct {
+	credit float64
+	at     loop.Micros
+	turns  map[string]float64 // CPUs given to each class, from where it came in
+	now    float64            // the turn of the class served last
+}
+
+// New makes a floor that owes nothing.
+func New() *Floor { return &Floor{turns: map[string]float64{}} }
+
+// Earn lets the part grow; rate is how many CPUs a second fall free for this node's work.
+func (f *Floor) Earn(now loop.Micros, rate float64) {
+	if f.at != 0 {
+		f.credit += float64(now-f.at) / 1e6 * rate * Part
+	}
+	f.at = now
+	f.credit = min(f.credit, float64(saved)/1e6*rate*Part+1)
+}
+
+// Spend takes in that so many CPUs were given to a class before its turn, or are held for it.
+func (f *Floor) Spend(class string, cpus float64) {
+	f.credit -= cpus
+	f.turns[class] += cpus
+	f.now = max(f.now, f.turns[class]-cpus)
+}
+
+// Pick tells who goes before its turn now, in this order. Credit may be overdrawn by one
+// piece, so that a task of any size gets its turn; it is made up for before the next.
+func (f *Floor) Pick(now loop.Micros, all []Waiter) (picks []Pick) {
+	left := f.credit
+	if left <= 0 {
+		return nil
+	}
+	late := map[string][]int{} // of each class, who waits longest first
+	for i := range all {
+		if w := &all[i]; w.Tasks > 0 && now-w.At >= After {
+			late[w.Class] = append(late[w.Class], i)
+		}
+	}
+	turns := map[string]float64{}
+	for class, line := range late {
+		slices.SortFunc(line, func(a, b int) int {
+			return cmp.Or(cmp.Compare(all[a].Since, all[b].Since), cmp.Compare(all[a].ID, all[b].ID))
+		})
+		if t, ok := f.turns[class]; !ok || t < f.now {
+			f.turns[class] = f.now // what it did not need while it was away is not made up for
+		}
+		turns[class] = f.turns[class]
+	}
+	share := map[string]int{}
+	for class, line := range late {
+		share[class] = len(line)
+	}
+	for left > 0 && len(picks) < most && len(late) > 0 {
+		class := ""
+		for c := range loop.Sorted(late) {
+			if class == "" || turns[c] < turns[class] {
+				class = c
+			}
+		}
+		i := late[class][0]
+		if late[class] = late[class][1:]; len(late[class]) == 0 {
+			delete(late, class)
+		}
+		w := &all[i]
+		n := max(w.Tasks/(piece*share[class]), 1)
+		if w.CPUs > 0 {
+			n = min(n, max(int(left/w.CPUs), 1))
+		}
+		turns[class] += float64(n) * w.CPUs
+		left -= float64(n) * w.CPUs
+		picks = append(picks, Pick{At: i, Tasks: n})
+	}
+	f.forget(turns)
+	return picks
+}
+
+// forget drops the turns of classes that have none waiting and are behind the others.
+func (f *Floor) forget(kept map[string]float64) {
+	for class, t := range f.turns {
+		if _, ok := kept[class]; !ok && t <= f.now {
+			delete(f.turns, class)
+		}
+	}
+}
--- /dev/null
+++ b/internal/floor/floor_test.go
@@ -0,0 +1,151 @@
+package floor
+
+import (
+	"fmt"
+	"testing"
+
+	"cleatpick/internal/fixed"
+	"cleatpick/internal/loop"
+
+	"pgregory.net/rapid"
+)
+
+// The verdict must be the same every time, so the generator's seed is fixed.
+func TestMain(m *testing.M) { fixed.Main(m) }
+
+// plain picks one task's worth after another by the rule as it reads: of the classes with
+// somebody late the one that was given least since it came in, and there who waits longest.
+func plain(credit float64, turns map[string]float64, now loop.Micros, all []Waiter) map[string]int {
+	got := map[string]int{}
+	late := func(w *Waiter) bool {
+		_, was := got[w.ID]
+		return !was && w.Tasks > 0 && now-w.At >= After
+	}
+	shares := map[string]int{}
+	for i := range all {
+		if late(&all[i]) {
+			shares[all[i].Class]++
+		}
+	}
+	given := map[string]float64{}
+	for len(got) < most && credit > 0 {
+		var best *Waiter
+		for i := range all {
+			w := &all[i]
+			if !late(w) {
+				continue
+			}
+			a := turns[w.Class] + given[w.Class]
+			if best == nil {
+				best = w
+				continue
+			}
+			b := turns[best.Class] + given[best.Class]
+			if a < b || a == b && (w.Class < best.Class || w.Class == best.Class && (w.Since < best.Since || w.Since == best.Since && w.ID < best.ID)) {
+				best = w
+			}
+		}
+		if best == nil {
+			break
+		}
+		n := 0
+		for n == 0 || n < best.Tasks/(piece*shares[best.Class]) && float64(n+1)*best.CPUs <= credit {
+			n++
+		}
+		got[best.ID] = n
+		given[best.Class] += float64(n) * best.CPUs
+		credit -= float64(n) * best.CPUs
+	}
+	return got
+}
+
+// The picks against the plain rule, under any load.
+func TestPicksAgainstPlainRule(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := New()
+		now := 1000 * loop.Second
+		for range rapid.IntRange(1, 6).Draw(t, "passes") {
+			now += loop.Micros(rapid.IntRange(1, 30).Draw(t, "later")) * loop.Second
+			f.Earn(now, float64(rapid.IntRange(0, 400).Draw(t, "rate")))
+			var all []Waiter
+			for k := range rapid.IntRange(0, 12).Draw(t, "waiters") {
+				all = append(all, Waiter{ID: fmt.Sprint("job-", k), Class: fmt.Sprint("c", rapid.IntRange(0, 3).Draw(t, "class")),
+					At: now - loop.Micros(rapid.IntRange(60, 90).Draw(t, "age"))*loop.Second, Since: now - loop.Micros(rapid.IntRange(0, 90).Draw(t, "waited"))*loop.Second, Tasks: rapid.IntRange(0, 200).Draw(t, "tasks"), CPUs: float64(rapid.IntRange(1, 4).Draw(t, "cpus"))})
+			}
+			credit, turns := f.credit, map[string]float64{}
+			for _, w := range all {
+				turns[w.Class] = max(f.turns[w.Class], f.now)
+			}
+			want := plain(credit, turns, now, all)
+			picks := f.Pick(now, all)
+			if len(picks) != len(want) {
+				t.Fatalf("%d picks, by the plain rule %v", len(picks), want)
+			}
+			for _, p := range picks {
+				if w := all[p.At]; want[w.ID] != p.Tasks {
+					t.Fatalf("%s goes first with %d tasks, by the plain rule %v", w.ID, p.Tasks, want)
+				}
+				f.Spend(all[p.At].Class, float64(p.Tasks)*all[p.At].CPUs)
+			}
+		}
+	})
+}
+
+// A class with a thousand jobs that never stop coming, one job of 25,000 tasks, and one whose
+// tasks take a whole machine each begin within four minutes, and no more is given before its
+// turn than is stated.
+func TestEveryClassBegins(t *testing.T) {
+	const rate = 100.0 // CPUs a second that fall free; all of it is wanted by work before these
+	f := New()
+	now := 1000 * loop.Second
+	start := now
+	jobs := []Waiter{{ID: "large", Class: "b", At: now, Since: now, Tasks: 25000, CPUs: 0.25}, {ID: "whole", Class: "c", At: now, Since: now, Tasks: 50, CPUs: 64}}
+	begun := map[string]loop.Micros{}
+	came := map[string]loop.Micros{"large": now, "whole": now}
+	given := 0.0
+	for k := range 6000 { // ten minutes
+		now += 100 * loop.Millisecond
+		if k%2 == 0 {
+			id := fmt.Sprintf("swarm-%05d", k)
+			jobs = append(jobs, Waiter{ID: id, Class: "a", At: now, Since: now, Tasks: 1, CPUs: 1})
+			came[id] = now
+		}
+		f.Earn(now, rate)
+		for _, p := range f.Pick(now, jobs) {
+			w := &jobs[p.At]
+			if begun[w.ID] == 0 {
+				begun[w.ID] = now
+			}
+			given += float64(p.Tasks) * w.CPUs
+			f.Spend(w.Class, float64(p.Tasks)*w.CPUs)
+			w.Since, w.Tasks = now, w.Tasks-p.Tasks
+		}
+	}
+	for _, id := range []string{"large", "whole"} {
+		if took := begun[id] - came[id]; begun[id] == 0 || took > 120*loop.Second {
+			t.Errorf("%s begins after %d us", id, took)
+		}
+	}
+	if most := float64(now-start)/1e6*rate*Part + 65; given > most {
+		t.Errorf("%.0f CPUs are given before their turn, at most %.0f are stated", given, most)
+	}
+	swarm := 0
+	for id, at := range begun {
+		if id[0] == 's' && at-came[id] <= 240*loop.Second {
+			swarm++
+		}
+	}
+	if swarm < 500 {
+		t.Errorf("%d single tasks begin in time beside the large", swarm)
+	}
+}
+
+// Whoever came lately waits for its turn as all do.
+func TestNobodyLate(t *testing.T) {
+	f := New()
+	f.Earn(1000*loop.Second, 100)
+	f.Earn(1100*loop.Second, 100)
+	if p := f.Pick(1100*loop.Second, []Waiter{{ID: "a", Class: "a", At: 1100*loop.Second - After + 1, Tasks: 5, CPUs: 1}}); len(p) != 0 {
+		t.Errorf("%v goes before its turn", p)
+	}
+}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -7,6 +7,7 @@
 	"cleatpick/internal/config"
 	"cleatpick/internal/cordon"
 	"cleatpick/internal/fleet"
+	"cleatpick/internal/floor"
 	"cleatpick/internal/health"
 	"cleatpick/internal/job"
 	"cleatpick/internal/loop"
@@ -66,6 +67,7 @@
 	usage    map[string]peer.Usage
 	pre      preemptor
 	turn     fleet.Turnover
+	floor    *floor.Floor
 	paces    health.Paces
 	checked  map[string]loop.Micros
 	reruns   reruns
@@ -77,7 +79,7 @@
 	p := &Placer{r: r, cordons: cordons, c: c, log: log, cfg: cfg, n: n, book: book, agent: a, teams: map[string]*team{}, on: map[string]*aboard{},
 		blame: health.NewBlame(func(id string) bool { j := book.Get(id); return j != nil && !j.Final() }), zoneMemo: map[string]string{}, nonce: loop.Rand(r).Uint64() >> 1, usage: map[string]peer.Usage{},
 
-		checked: map[string]loop.Micros{}, paces: health.Paces{}}
+		checked: map[string]loop.Micros{}, paces: health.Paces{}, floor: floor.New()}
 	p.fleet = fleet.New(r, log, fleet.Node{Label: n.Label, Type: n.Type, Room: a.Room, Jobs: a.Jobs, Unshown: p.unshown, Stop: n.Stop,
 		Cordons: cordons, StaleAfter: p.staleAfter()})
 	loop.Every(r, 400*loop.Millisecond, p.tick)
@@ -129,6 +131,8 @@
 	t := tm.jobs[j.ID]
 	if t == nil {
 		t = &table{j: j, team: tm, blocks: make([]*[blockSize]task, (j.Tasks+blockSize-1)/blockSize), zones: map[string]int{}}
+		t.at = p.r.Now() - max(p.r.Wall()-j.At, 0)
+		t.pieceAt = t.at
 		p.watch(t)
 		tm.enter(t)
 	}
--- a/internal/placer/table.go
+++ b/internal/placer/table.go
@@ -81,6 +81,8 @@
 	causes    []gate.Cause      // as last told
 	toldAt    loop.Micros       // time of day at which they were told; 0: never by this owner
 	toldTimes int               // since they last changed
+	at        loop.Micros       // when it was accepted, by the steady clock
+	pieceAt   loop.Micros       // when it last got something before its turn; at, if it never did
 	missing   loop.Micros       // since when tasks of it find no room; 0: none does
 	toldDone  int64
 	toldRun   int64
