--- a/internal/placer/commit.go
+++ b/internal/placer/commit.go
@@ -531,7 +531,10 @@
 		}
 		p.restore(tm, prefix, items, recs)
 		tm.loaded = true
-		p.book.Each(func(j *job.Job) { p.Job(j) })
+		for _, t := range tm.inOrder() {
+			p.Job(t.j) // what is over is stopped, in an order that is always the same
+		}
+		p.book.Each(p.Job)
 		n := 0
 		for _, t := range tm.jobs {
 			n += t.inUse
