--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -88,8 +88,9 @@
 	// MayStart tells whether new starts may be passed on.
 	MayStart func() bool
 	// SendOn tells whether workers should report elsewhere, since what is heard here
-	// reaches no owner, and where, if that is known.
-	SendOn func() (on bool, to string)
+	// reaches no owner, where, if that is known, and after how long once more: each is
+	// answered here meanwhile, should it find nobody else.
+	SendOn func() (on bool, to string, again loop.Micros)
 	Epoch  func() uint64
 	Raise  func(done func())
 	Type   func(name string) (wire.MachineType, bool)
@@ -149,9 +150,7 @@
 		reply(Answer{421, wire.ReportTo{Node: coach}})
 		return
 	}
-	if on, to := a.h.SendOn(); on && a.r.Now()-a.sentOn[r.Machine] > 10*loop.Second {
-		// What is heard here does not reach the owners: the worker is sent on
-		// once, and answered should it find nobody else.
+	if on, to, again := a.h.SendOn(); on && a.r.Now()-a.sentOn[r.Machine] > again {
 		a.sentOn[r.Machine] = a.r.Now()
 		reply(Answer{421, wire.ReportTo{Node: to}})
 		return
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -43,7 +43,7 @@
 	j := &job.Job{ID: "job-1", Phase: job.Accepted, Spec: spec, Tasks: 9}
 	g.a = New(g, slog.New(slog.NewTextHandler(io.Discard, nil)), Host{
 		Label: "a", MayAnswer: func() (bool, string) { return true, "" }, MayStart: func() bool { return true },
-		SendOn: func() (bool, string) { return false, "" }, Epoch: func() uint64 { return g.epoch },
+		SendOn: func() (bool, string, loop.Micros) { return false, "", 0 }, Epoch: func() uint64 { return g.epoch },
 		Raise: func(done func()) { g.epoch += 2; done() },
 		Type:  func(string) (wire.MachineType, bool) { return wire.MachineType{Name: "m", CPUs: 4, MemoryGB: 8}, true },
 		Job: func(id string) *job.Job {
@@ -183,3 +183,58 @@
 		t.Fatalf("a start of another session is refused as %v, want once by life 2", g.drops)
 	}
 }
+
+// A copy of a report proves no more than the report did: whatever it meets, a host that knows
+// the machine, one that has just begun and remembers nothing, or the machine's deletion, it
+// settles nothing, brings no older list back, and takes no machine from the node that it
+// reports to. Copies of copies and copies in reverse order are the same.
+func TestCopiesOfReports(t *testing.T) {
+	report := func(session, seq, token uint64, running ...string) wire.Report {
+		r := wire.Report{Machine: "n-1", Addr: "x:1", Type: "m", Zone: "z", Session: session, Seq: seq, Token: token}
+		for _, x := range running {
+			r.Tasks = append(r.Tasks, wire.ReportTask{Task: x, Attempt: 1, State: wire.TaskRunning})
+		}
+		return r
+	}
+	status := 0
+	take := func(g *rig, r wire.Report) int {
+		g.a.Beat(r, func(a Answer) { status = a.Status })
+		return status
+	}
+	// A host that knows the machine.
+	g := newRig()
+	token := g.beat(t, 1, 0).Token
+	g.beat(t, 2, token, wire.ReportTask{Task: "job-1/0", Attempt: 1, State: wire.TaskRunning})
+	g.beat(t, 3, token)
+	before := *g.a.View("n-1")
+	for _, r := range []wire.Report{report(1, 3, token), report(1, 2, token, "job-1/0"), report(1, 1, 0), report(1, 2, token, "job-1/0")} {
+		g.now += 20 * loop.Second
+		take(g, r)
+		if v := g.a.View("n-1"); v.Seq != 3 || v.Session != 1 || v.At != before.At || len(v.Tasks) != 0 {
+			t.Fatalf("a copy of report %d brings %+v about", r.Seq, v)
+		}
+	}
+	// One of a session before.
+	take(g, report(2, 1, token))
+	if take(g, report(1, 9, token, "job-1/0")); g.a.View("n-1").Session != 2 || len(g.a.View("n-1").Tasks) != 0 || status != 503 {
+		t.Fatalf("a copy of an earlier session is answered %d and brings %+v about", status, g.a.View("n-1"))
+	}
+	// A host that has just begun, in any order, and one that the machine does not report to.
+	g = newRig()
+	g.epoch = 9
+	for _, r := range []wire.Report{report(1, 7, token, "job-1/0"), report(1, 8, token), report(1, 7, token, "job-1/0"), report(1, 8, token)} {
+		take(g, r)
+		if v := g.a.View("n-1"); v.Settled || v.At != 0 {
+			t.Fatalf("a copy of report %d counts as settled %v, made after %d", r.Seq, v.Settled, v.At)
+		}
+	}
+	g.a.Learn(&View{Name: "n-1", Host: "b", Session: 1, Seq: 9, Settled: true, At: g.now})
+	if take(g, report(1, 8, token)); status != 503 || g.a.View("n-1").Host != "b" || g.a.Hosted() != 0 {
+		t.Fatalf("a copy is answered %d and moves the machine to %q", status, g.a.View("n-1").Host)
+	}
+	// After the machine's deletion.
+	g.a.Gone("n-1")
+	if take(g, report(1, 10, token)); status != 503 || g.a.View("n-1") != nil {
+		t.Fatalf("a copy brings a deleted machine back: %+v", g.a.View("n-1"))
+	}
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -45,6 +45,9 @@
 	// Crowded tells whether so many connections are open that workers' are not kept; it
 	// may be nil.
 	Crowded func() bool
+	// bad counts the malformed reports since badAt, when one was last told of.
+	bad   int
+	badAt loop.Micros
 }
 
 // New makes the server.
@@ -149,10 +152,10 @@
 }
 
 func (f *Front) beat(ctx *fasthttp.RequestCtx) {
-	var r wire.Report
-	body := ctx.PostBody()
-	if !wire.IsMap(body) || wire.Unmarshal(body, &r) != nil || r.Machine == "" || r.Session == 0 || r.Type == "" || r.Zone == "" {
-		write(ctx, 400, wire.Error{Error: "malformed report"})
+	r, err := wire.ReadReport(ctx.PostBody())
+	if err != nil {
+		f.r.Post(func() { f.malformed(r.Machine, err) })
+		write(ctx, 400, wire.Error{Error: "malformed report: " + err.Error()})
 		return
 	}
 	if f.Crowded != nil && f.Crowded() {
@@ -166,6 +169,16 @@
 	write(ctx, a.Status, a.Body)
 }
 
+// malformed tells the operators of a report that makes no sense, at most once a second: the
+// worker sends it again and again.
+func (f *Front) malformed(machine string, err error) {
+	f.bad++
+	if now := f.r.Now(); f.badAt == 0 || now-f.badAt >= loop.Second {
+		f.log.Error("malformed report", "machine", machine, "fault", err.Error(), "since_last", f.bad)
+		f.badAt, f.bad = now, 0
+	}
+}
+
 type verdict struct {
 	status int // 0: see answer
 	why    string
--- a/internal/job/inquiry_test.go
+++ b/internal/job/inquiry_test.go
@@ -275,3 +275,30 @@
 		})
 	}
 }
+
+// A record that cannot be read does not make its job forgotten: that it was accepted is still
+// told, to a poll and to a repeated submission, and how it ended where that was read before.
+func TestDamagedRecordIsNotForgotten(t *testing.T) {
+	n, b := newSlowBook(7, 60)
+	spec := &Spec{Class: "k", Team: "red", Tasks: 1, CPUs: 1, MemoryGB: 1, Image: "i", AnyType: true}
+	store := func(id string, v any) { b.m.Apply(Keys+id, wire.Marshal(v), n.state.Put(Keys+id, v), false) }
+	store("job-1", Record{Phase: Accepted, At: 1, Spec: spec})
+	store("job-2", Record{Phase: Done, At: 1, Tasks: 1})
+	for _, id := range []string{"job-1", "job-2", "job-3"} {
+		store(id, "nonsense")
+	}
+	for id, want := range map[string]Phase{"job-1": Accepted, "job-2": Done, "job-3": Accepted} {
+		var got []Answer
+		b.Poll(id, func(a Answer) { got = append(got, a) })
+		b.Submit(id, spec, func(a Answer) { got = append(got, a) })
+		n.Run(2 * loop.Second)
+		for _, a := range got {
+			if a.Code != 200 || a.Phase != want {
+				t.Errorf("%s is told as %d %q, want %q", id, a.Code, a.Phase, want)
+			}
+		}
+		if len(got) != 2 {
+			t.Errorf("%s: %d answers", id, len(got))
+		}
+	}
+}
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -165,8 +165,8 @@
 	}
 	var rec Record
 	if err := wire.Unmarshal(e.Value, &rec); err != nil || !rec.sound() {
-		// A record that makes no sense is set aside: nothing is started on
-		// its account, and its users are asked to come back.
+		// A record that makes no sense is set aside: nothing is started on its account. That
+		// the job was accepted is certain, and still told: see damaged.
 		b.log.Error("corrupt record set aside", "key", key, "err", err)
 		b.bad[id] = true
 		return
@@ -246,7 +246,7 @@
 // found in the store; since no record is ever removed, they are there for good.
 func (b *Book) Propose(id string, spec *Spec, terms *Terms, cb func(Answer)) {
 	if b.bad[id] {
-		cb(Answer{Code: 503, ID: id})
+		cb(b.damaged(id))
 		return
 	}
 	if j := b.jobs[id]; j != nil {
@@ -369,10 +369,10 @@
 			cb(Answer{Code: 404, ID: id})
 		default:
 			b.m.Apply(it.Key, it.Value, it.Mark, false)
-			if j := b.jobs[id]; j != nil && !b.bad[id] {
-				cb(answer(j, 200))
+			if b.bad[id] {
+				cb(b.damaged(id))
 			} else {
-				cb(Answer{Code: 503, ID: id})
+				cb(answer(b.jobs[id], 200))
 			}
 		}
 	})
@@ -381,7 +381,7 @@
 // Poll answers for a job's state; anything that is not final is confirmed with the store.
 func (b *Book) Poll(id string, cb func(Answer)) {
 	if b.bad[id] {
-		cb(Answer{Code: 503, ID: id})
+		cb(b.damaged(id))
 		return
 	}
 	if j := b.jobs[id]; j != nil && j.Final() {
@@ -393,6 +393,16 @@
 	b.check(id, Known, cb)
 }
 
+// damaged is what is told of a job whose record cannot be read: how it ended, if that was read
+// before, and else that it was accepted, since records are never removed. Told to come back,
+// its users would count it as forgotten.
+func (b *Book) damaged(id string) Answer {
+	if j := b.jobs[id]; j != nil {
+		return answer(j, 200)
+	}
+	return Answer{Code: 200, ID: id, Phase: Accepted}
+}
+
 // expire gives up requests that waited too long: their users are told to come back.
 func (b *Book) expire() {
 	now := b.r.Now()
--- a/internal/node/world_referee_test.go
+++ b/internal/node/world_referee_test.go
@@ -52,6 +52,7 @@
 func (w *world) left(task, why string) {
 	id, _, _ := agent.SplitTask(task)
 	delete(w.active, task)
+	w.whys[why]++
 	w.teams[w.jobs[id].spec.Team] -= w.jobs[id].spec.CPUs
 	if why == wire.WhyDone {
 		w.doneT[task] = true
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -75,7 +75,8 @@
 	cost    cost
 	// settings changes the settings of one node, as while they are brought in; may be nil.
 	settings func(label string, c *config.Config)
-	copies   float64 // the part of all reports of which a copy comes late
+	whys     map[string]int // of tasks that left their machines
+	copies   float64        // the part of all reports of which a copy comes late
 	seed     uint64
 	messages hash.Hash   // of every message with its time; nil: none is kept
 	calm     loop.Micros // when all troubles are over; 0: that is not judged
@@ -289,7 +290,7 @@
 func newWorldOf(t testing.TB, seed uint64, z size, settings func(*config.Config)) *world {
 	w := &world{t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 7)), now: 3600 * loop.Second, zoneCut: map[string]cutMode{},
 		nodes: map[string]*simNode{}, workers: map[string]*simWorker{}, jobs: map[string]*simJob{}, cut: map[string]cutMode{},
-		active: map[string]string{}, doneT: map[string]bool{}, teams: map[string]float64{}}
+		whys: map[string]int{}, active: map[string]string{}, doneT: map[string]bool{}, teams: map[string]float64{}}
 	for i := range z.nodes {
 		w.labels = append(w.labels, string(rune('a'+i)))
 	}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -121,6 +121,9 @@
 	w.seq, w.token, w.held = 0, 0, now
 }
 
+// Answer is when the newest answered report was sent.
+func (w *Worker) Answer() loop.Micros { return w.held }
+
 // Report describes the machine now.
 func (w *Worker) Report() wire.Report {
 	w.seq++
--- /dev/null
+++ b/internal/wire/check.go
@@ -0,0 +1,63 @@
+package wire
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// taskWaiting is a task of a gang that waits for the others; only such jobs have it.
+const taskWaiting = "waiting"
+
+// ReadReport reads a worker's report. The error names the field that is missing, of a wrong
+// type or out of range, in the protocol's words.
+func ReadReport(body []byte) (r Report, err error) {
+	if !IsMap(body) {
+		return r, errors.New("not a map")
+	}
+	if err := Unmarshal(body, &r); err != nil {
+		var wrong *cbor.UnmarshalTypeError
+		if errors.As(err, &wrong) && wrong.StructFieldName != "" {
+			return r, fmt.Errorf("%s is a %s", wrong.StructFieldName[strings.LastIndexByte(wrong.StructFieldName, '.')+1:], wrong.CBORType)
+		}
+		return r, errors.New("not CBOR, or not as a report is")
+	}
+	return r, r.check()
+}
+
+func (r *Report) check() error {
+	for _, f := range [...]struct {
+		name  string
+		wrong bool
+	}{
+		{"stall is missing", r.Machine == ""},
+		{"address is missing", r.Addr == ""},
+		{"build is missing", r.Type == ""},
+		{"field is missing", r.Zone == ""},
+		{"shift is missing or 0", r.Session == 0},
+		{"recallS is no time", r.NoticeS != nil && !(*r.NoticeS >= 0 && *r.NoticeS <= math.MaxInt32)},
+	} {
+		if f.wrong {
+			return errors.New(f.name)
+		}
+	}
+	for i := range r.Tasks {
+		switch t := &r.Tasks[i]; {
+		case t.Task == "":
+			return fmt.Errorf("snaps %d: snap is missing", i)
+		case t.Attempt == 0:
+			return fmt.Errorf("snaps %d: try is missing or 0", i)
+		case t.State == TaskExited && t.Why == "":
+			return fmt.Errorf("snaps %d: call is missing", i)
+		}
+		switch s := r.Tasks[i].State; s {
+		case TaskFetching, TaskRunning, TaskSaving, TaskExited, taskWaiting:
+		default:
+			return fmt.Errorf("snaps %d: standing %.20q is unknown", i, s)
+		}
+	}
+	return nil
+}
