--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -104,9 +104,7 @@
 		f.sorted = false
 		f.priced = 0
 	}
-	if sl.V = v; v.Settled || sl.Heard == 0 {
-		sl.Heard = now // one that shows nothing of what it was told is not heard, however often it reports
-	}
+	sl.V, sl.Heard = v, now
 	if !quiet {
 		f.Touch(sl)
 	}
