--- a/internal/loss/loss_test.go
+++ b/internal/loss/loss_test.go
@@ -340,6 +340,22 @@
 	}
 }
 
+// A deaf machine takes no connection. Behind a cut that has just ended, before its next report
+// comes, it is not taken for a dead one.
+func TestDeafBehindACut(t *testing.T) {
+	y := newYard(2, 40)
+	y.run(10 * loop.Second)
+	y.fall(deaf, 0, y.all[:10]...)
+	y.run(12 * loop.Second)
+	y.cut["z0"] = y.now + 7500*loop.Millisecond
+	y.run(60 * loop.Second)
+	for _, r := range y.all[:10] {
+		if took := r.lostAt - r.heard; r.lostAt == 0 || took < y.rules.stray() {
+			t.Errorf("%s is lost as %q after %d us", r.name, r.why, took)
+		}
+	}
+}
+
 // A node that hears nobody judges nobody.
 func TestBlind(t *testing.T) {
 	y := newYard(1, 10)
--- a/internal/rental/rental_test.go
+++ b/internal/rental/rental_test.go
@@ -108,6 +108,23 @@
 	}
 }
 
+// Copies of a machine's reports keep coming after it has died, to a leader that remembers
+// nothing newer. None shows what the machine was told: it is given up all the same.
+func TestCopiesOfADeadMachinesReports(t *testing.T) {
+	g := newRig(t, 4)
+	g.Run(3 * loop.Second)
+	g.hear("n-900000", "x")
+	for k := range 60 {
+		g.hear("n-900001", "x") // its neighbour lives
+		if g.Run(500 * loop.Millisecond); k%3 == 0 {
+			g.a.Learn(&agent.View{Name: "n-900000", Addr: "n-900000", Type: "m8", Zone: "x", Host: "b", Session: 1, Seq: uint64(g.Now()), Tasks: g.runs})
+		}
+		if gone := g.a.IsGone("n-900000"); gone && k < 20 || !gone && k > 44 { // a lease of 10 s, and 9 s and a call
+			t.Fatalf("after %d ms the machine is gone %v", 500*k, gone)
+		}
+	}
+}
+
 // A stockout must not be asked again and again by the same misses, and once there
 // is room again no more is rented than is missed.
 func TestStockoutBacksOffAndOrdersOnce(t *testing.T) {
