--- a/internal/node/addition_hand_test.go
+++ b/internal/node/addition_hand_test.go
@@ -55,7 +55,7 @@
 		{"all but one", func(w *world) []string {
 			return slices.DeleteFunc(slices.Clone(w.labels), func(l string) bool { return l == "b" })
 		}, 60 * loop.Second},
-		{"all", func(w *world) []string { return w.labels }, 23500 * loop.Millisecond},
+		{"all", func(w *world) []string { return w.labels }, 23 * loop.Second},
 	} {
 		for _, mode := range []cutMode{dropping, holding} {
 			t.Run(fmt.Sprint(c.name, mode), func(t *testing.T) {
@@ -88,6 +88,26 @@
 	}
 }
 
+// Where workers reach no node but the one that has nothing else, it lets them go in time for
+// cancellations that others have told of meanwhile; the referee looks at every second.
+func TestCancelledBehindANodeWithItsWorkersOnly(t *testing.T) {
+	w := handWorld(t, 3)
+	w.cutFor(90*loop.Second, dropping, slices.Concat(w.workersOnly("a"), []string{"b>workers", "c>workers"})...)
+	for _, j := range loop.Sorted(w.jobs) {
+		w.at(5*loop.Second, func() { w.withdraw(j) })
+	}
+	w.run(w.now + 80*loop.Second)
+	told := 0
+	for _, j := range w.jobs {
+		if j.withdrawn != 0 {
+			told++
+		}
+	}
+	if told < len(w.jobs)-2 || w.whys["lease"] == 0 || len(w.active) != 0 {
+		t.Errorf("%d of %d jobs are cancelled, tasks end by %v, %d are left", told, len(w.jobs), w.whys, len(w.active))
+	}
+}
+
 // owned tells whether every team has an owner that knows of it, and somebody leads.
 func (w *world) owned() bool {
 	leads, teams := false, map[string]bool{}
