Workers are sent on to one node that lives, by name, and not to find one by themselves

A node that was left alone sent its own workers on before the others' leases had lapsed, and they lost theirs (leases of 10 s, two silent nodes). With contact it now waits for that, and names one that is registered; without, it names each of the others in turn.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -87,10 +87,10 @@
 	MayAnswer func() (ok bool, coach string)
 	// MayStart tells whether new starts may be passed on.
 	MayStart func() bool
-	// SendOn tells whether workers should report elsewhere, since what is heard here
-	// reaches no owner, where, if that is known, and after how long once more: each is
-	// answered here meanwhile, should it find nobody else.
-	SendOn func() (on bool, to string, again loop.Micros)
+	// SendOn tells whether a worker should report elsewhere, since what is heard here
+	// reaches no owner, where, and after how long once more: it is answered here meanwhile,
+	// should it find nobody else. before is how often it was sent on.
+	SendOn func(machine string, before int) (on bool, to string, again loop.Micros)
 	Epoch  func() uint64
 	Raise  func(done func())
 	Type   func(name string) (wire.MachineType, bool)
@@ -116,14 +116,14 @@
 	hosted map[string]*machine
 	views  map[string]*View
 	gone   map[string]bool
-	sentOn map[string]loop.Micros
+	sentOn map[string]sending
 
 	toPublish []*machine
 }
 
 // New makes the machine room.
 func New(r loop.Runner, log *slog.Logger, h Host, direct Direct) *Agent {
-	a := &Agent{r: r, log: log, h: h, direct: direct, hosted: map[string]*machine{}, views: map[string]*View{}, gone: map[string]bool{}, sentOn: map[string]loop.Micros{}}
+	a := &Agent{r: r, log: log, h: h, direct: direct, hosted: map[string]*machine{}, views: map[string]*View{}, gone: map[string]bool{}, sentOn: map[string]sending{}}
 	loop.Every(r, 500*loop.Millisecond, a.tick)
 	return a
 }
@@ -150,8 +150,9 @@
 		reply(Answer{421, wire.ReportTo{Node: coach}})
 		return
 	}
-	if on, to, again := a.h.SendOn(); on && a.r.Now()-a.sentOn[r.Machine] > again {
-		a.sentOn[r.Machine] = a.r.Now()
+	was := a.sentOn[r.Machine]
+	if on, to, again := a.h.SendOn(r.Machine, was.times); on && a.r.Now()-was.at > again {
+		a.sentOn[r.Machine] = sending{a.r.Now(), was.times + 1}
 		reply(Answer{421, wire.ReportTo{Node: to}})
 		return
 	}
@@ -199,6 +200,12 @@
 	a.touch(m)
 }
 
+// sending is when a worker was last sent on, and how often it was.
+type sending struct {
+	at    loop.Micros
+	times int
+}
+
 // take brings the machine's view up to a report or to the body of a direct command's answer.
 //
 // A report may have been held back for minutes, and looks new to a node that heard
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -43,7 +43,7 @@
 	j := &job.Job{ID: "job-1", Phase: job.Accepted, Spec: spec, Tasks: 9}
 	g.a = New(g, slog.New(slog.NewTextHandler(io.Discard, nil)), Host{
 		Label: "a", MayAnswer: func() (bool, string) { return true, "" }, MayStart: func() bool { return true },
-		SendOn: func() (bool, string, loop.Micros) { return false, "", 0 }, Epoch: func() uint64 { return g.epoch },
+		SendOn: func(string, int) (bool, string, loop.Micros) { return false, "", 0 }, Epoch: func() uint64 { return g.epoch },
 		Raise: func(done func()) { g.epoch += 2; done() },
 		Type:  func(string) (wire.MachineType, bool) { return wire.MachineType{Name: "m", CPUs: 4, MemoryGB: 8}, true },
 		Job: func(id string) *job.Job {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -513,6 +513,9 @@
 // LeaderCond is the condition that this claim still leads.
 func LeaderCond(claim Owner) wire.Cond { return wire.Cond{Key: leaderKey, Mark: claim.Mark} }
 
+// Registered tells whether a node holds its lease, as far as is known here.
+func (b *Member) Registered(node string) bool { _, ok := b.nodes[node]; return ok }
+
 // Nodes is the number of nodes that are registered now.
 func (b *Member) Nodes() int { return len(b.nodes) }
 
--- a/internal/node/addition_hand_test.go
+++ b/internal/node/addition_hand_test.go
@@ -108,6 +108,35 @@
 	}
 }
 
+// All other nodes are silent to everybody. To the one that is left that looks like a cut of its
+// own; sent on, its workers would wait for each of the others in vain, and lose their leases.
+func TestNodeThatIsLeftKeepsItsWorkers(t *testing.T) {
+	for _, nodes := range []int{3, 5} {
+		w := handWorld(t, nodes)
+		left := slices.MaxFunc(w.labels, func(a, b string) int { return w.nodes[a].n.agent.Hosted() - w.nodes[b].n.agent.Hosted() })
+		var mine []string
+		for _, name := range w.present() {
+			if v := w.nodes[left].n.agent.View(name); v != nil && v.Host == left {
+				mine = append(mine, name)
+			}
+		}
+		for _, l := range w.labels {
+			if l != left {
+				w.cutFor(60*loop.Second, dropping, w.ways(l)...)
+			}
+		}
+		w.run(w.now + 100*loop.Second)
+		for _, name := range mine {
+			if x := w.workers[name]; x.gone || x.w.Report().Session != 1 {
+				t.Errorf("%d nodes: %s lost its lease at the node that is left", nodes, name)
+			}
+		}
+		if len(mine) < 3 {
+			t.Errorf("%d nodes: only %d machines report to %s", nodes, len(mine), left)
+		}
+	}
+}
+
 // owned tells whether every team has an owner that knows of it, and somebody leads.
 func (w *world) owned() bool {
 	leads, teams := false, map[string]bool{}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -51,6 +51,7 @@
 	meter    *metric.Meter // nil while /v1/ is off
 	more     *explaining   // nil while /v1/ is off
 	began    loop.Micros
+	isolated loop.Micros // since when no peer is heard; 0: one is
 }
 
 // Outside is what a node reaches beyond itself; tests put stand-ins here.
@@ -343,39 +344,6 @@
 	return k.Status, k.Heard != 0 && age < 2500*loop.Millisecond && late < 3*loop.Second+off
 }
 
-// sendOn tells whether workers should report elsewhere. A node that hears no peer
-// sends them on: to the leader, where no node hears another, or to whom they find.
-func (n *Node) sendOn() (on bool, to string, again loop.Micros) {
-	again = sendOnAgain
-	switch lost := n.loop.Now() - n.client.Contact(); {
-	case lost > sendOnAgain:
-		again = sendOnCut
-	case lost > contactAge:
-		again = sendOnEarly
-	}
-	if !n.reach.Isolated() || n.member.Nodes() < 2 {
-		return false, "", again
-	}
-	if _, leads := n.member.Leads(); leads && n.member.AllAlone() {
-		return false, "", again
-	}
-	if o, ok := n.member.Leader(); ok && o.Node != n.cfg.Label && n.member.AllAlone() {
-		return true, o.Node, again
-	}
-	return true, "", again
-}
-
-// A worker that was sent on, and came back, is sent on once more after a while. By a node that
-// has nothing but its workers it is twice within the first ten seconds, when the nodes' leases
-// have lapsed and one that has contact holds its own for alone; and not any more after that:
-// each time it tries all nodes in vain, a second each, and where none has contact that was lost
-// from the last moments in which its lease could be kept.
-const (
-	sendOnAgain = 10 * loop.Second
-	sendOnEarly = 5 * loop.Second
-	sendOnCut   = 60 * loop.Second
-)
-
 // mayStart: without state contact no new start is made, since a cancellation
 // may have been told meanwhile.
 func (n *Node) mayStart() bool { return n.member.Entitled() && n.contact() }
@@ -466,6 +434,7 @@
 
 func (n *Node) status() {
 	n.reach.Look()
+	n.isolate()
 	if n.mirror.Ready() {
 		n.client.Use(admission.Part(n.member.Nodes(), n.cfg.Cluster.Nodes, n.member.Entitled()))
 	}
