--- /dev/null
+++ b/internal/agent/direct.go
@@ -0,0 +1,84 @@
+package agent
+
+import (
+	"time"
+
+	"cleatpick/internal/loop"
+	"cleatpick/internal/store"
+	"cleatpick/internal/wire"
+)
+
+// flushSoon sends what waits for a machine straight to it, in a moment.
+func (a *Agent) flushSoon(m *machine) {
+	if m.flushing {
+		return
+	}
+	m.flushing = true
+	a.r.After(4*loop.Millisecond, func() {
+		m.flushing = false
+		a.flush(m)
+	})
+}
+
+// flush sends commands straight to the worker. It does so only under a token that
+// the worker has shown: then no other node can give commands without this one seeing it.
+func (a *Agent) flush(m *machine) {
+	if a.hosted[m.view.Name] != m || m.state != Held || m.direct {
+		return
+	}
+	if ok, _ := a.h.MayAnswer(); !ok {
+		return
+	}
+	cmds := a.commands(m, true)
+	if len(cmds) == 0 && !m.check {
+		return
+	}
+	m.direct, m.check = true, false
+	token, session, addr, sent := m.token, m.view.Session, m.view.Addr, a.r.Wall()
+	a.r.Go(func() {
+		resp := a.direct(addr, wire.Commands{Token: token, Session: session, Commands: cmds}, 1500*time.Millisecond)
+		a.r.Post(func() { a.directDone(m, token, sent, resp) })
+	})
+}
+
+func (a *Agent) directDone(m *machine, token uint64, sent loop.Micros, resp store.Response) {
+	m.direct = false
+	var r wire.Report
+	sure := resp.Err == nil && (resp.Status == 200 || resp.Status == 409) && wire.Unmarshal(resp.Body, &r) == nil
+	for _, p := range m.pending {
+		if p.direct && !sure {
+			p.limbo = token + 1
+		}
+		p.direct = false
+	}
+	if a.hosted[m.view.Name] != m {
+		return
+	}
+	if !sure {
+		// It may land minutes later. A higher token shuts it out, once the
+		// worker shows that it has seen it.
+		a.log.Debug("direct command unanswered", "machine", m.view.Name, "err", resp.Err, "status", resp.Status)
+		if m.token == token {
+			m.token++
+			m.tokenAt = a.r.Wall()
+		}
+		a.setState(m, Taking)
+		a.touch(m)
+		return
+	}
+	if r.Machine == m.view.Name && (r.Session > m.view.Session || (r.Session == m.view.Session && r.Seq > m.view.Seq)) {
+		if resp.Status == 409 {
+			sent = 0
+		}
+		a.take(m, r, false, sent)
+		a.touch(m)
+	}
+	if m.state == Held {
+		for _, p := range m.pending {
+			if !p.inAnswer {
+				a.flushSoon(m)
+				break
+			}
+		}
+	}
+}
--- a/internal/agent/start.go
+++ b/internal/agent/start.go
@@ -84,10 +84,10 @@
 		}
 		a.h.Drop(s.From, Drop{Machine: s.Machine, Task: s.Task, Attempt: s.Attempt, Why: why, Life: a.h.Life})
 	}
-	if m == nil || s.Life != a.h.Life {
+	if m == nil || s.Life != 0 && s.Life != a.h.Life {
 		// The owner hears of the new host, or of its new life, and sends it there until the
 		// start expires. What an earlier life has passed on is not known here: to refuse it
-		// now was once taken for proof that it never would land.
+		// now was once taken for proof that it never would land. Owners before 0.6.0 name none.
 		return
 	}
 	if m.view.Find(s.Task, s.Attempt) != nil || m.pending[k] != nil {
