--- a/internal/floor/floor.go
+++ b/internal/floor/floor.go
@@ -65,6 +65,9 @@
 	f.credit = min(f.credit, float64(saved)/1e6*rate*Part+1)
 }
 
+// Owes tells whether anything may be given before its turn now.
+func (f *Floor) Owes() bool { return f.credit > 0 }
+
 // Spend takes in that so many CPUs were given to a class before its turn, or are held for it.
 func (f *Floor) Spend(class string, cpus float64) {
 	f.credit -= cpus
@@ -76,7 +79,7 @@
 // piece, so that a task of any size gets its turn; it is made up for before the next.
 func (f *Floor) Pick(now loop.Micros, all []Waiter) (picks []Pick) {
 	left := f.credit
-	if left <= 0 {
+	if !f.Owes() {
 		return nil
 	}
 	late := map[string][]int{} // of each class, who waits longest first
--- a/internal/placer/floor.go
+++ b/internal/placer/floor.go
@@ -21,7 +21,9 @@
 // otherwise fill whatever falls free before a large one fits. Nothing is stopped for it.
 func (p *Placer) before(q []entryOf, open []*fleet.Slot, chosen *[]hostStart) {
 	now := p.r.Now()
-	p.floor.Earn(now, p.turn.Rate*p.share())
+	if p.floor.Earn(now, p.turn.Rate*p.share()); !p.floor.Owes() {
+		return // as most of the time, when so much waits that looking through it costs
+	}
 	late := q[:0:0]
 	var all []floor.Waiter
 	for _, e := range q {
