--- a/internal/explain/answer.go
+++ b/internal/explain/answer.go
@@ -102,6 +102,8 @@
 	Cordons  []string    `json:"cordons,omitempty"`
 	// StoppedFor names jobs that tasks of this one were stopped for lately.
 	StoppedFor []string `json:"stoppedFor,omitempty"`
+	// Held is for how many of its tasks room is being kept, on machines that have none yet.
+	Held int `json:"roomHeld,omitempty"`
 }
 
 // TeamUse is what a team uses, may use and is guaranteed.
--- a/internal/explain/facts.go
+++ b/internal/explain/facts.go
@@ -34,6 +34,7 @@
 	Flights []Flight
 	Running int
 	Done    int
+	Held    int               // tasks for which room is kept
 	Stopped map[string]string // by machine: the job for which tasks of this one were stopped lately
 }
 
@@ -193,6 +194,7 @@
 			}
 		}
 		r.Detail.Needs, r.Detail.Team, r.Detail.Machines = needs, f.team(), f.lacks()
+		r.Detail.Held = f.Held
 		for _, by := range f.Stopped {
 			if !slices.Contains(r.Detail.StoppedFor, by) {
 				r.Detail.StoppedFor = append(r.Detail.StoppedFor, by)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -202,6 +202,7 @@
 			sl.lowest = min(sl.lowest, j.Spec.Priority)
 		}
 	}
+	f.usedClaims(sl)
 	sl.Known = true
 	sl.Cordoned = f.n.Cordons.Barred(Where(v))
 }
--- a/internal/fleet/stop.go
+++ b/internal/fleet/stop.go
@@ -20,7 +20,7 @@
 	if sl == nil {
 		return // nothing is placed here on a machine that was not heard
 	}
-	sl.Claims = append(sl.Claims, gate.Claim{Job: c.Job, Priority: c.Priority, Until: c.Until,
+	sl.Claims = append(sl.Claims, gate.Claim{Job: c.Job, Priority: c.Priority, Until: c.Until, Had: sl.tasksOf(c.Job),
 		Room: agent.Room{CPUs: c.CPUs, GPUs: c.GPUs, MemoryGB: c.MemoryGB}})
 	f.claimed[sl] = struct{}{}
 	f.held[c.Job]++
@@ -42,11 +42,53 @@
 	for i := range sl.Claims {
 		if sl.Claims[i].Job == id {
 			f.dropClaim(sl, i)
+			for k := range sl.Claims {
+				if sl.Claims[k].Job == id {
+					sl.Claims[k].Had++ // the machine will show that task, which used this claim and no other
+				}
+			}
 			return
 		}
 	}
 }
 
+// usedClaims drops the claims whose tasks the machine shows: another owner had them made, and
+// its task and its claim would take the room twice.
+func (f *Fleet) usedClaims(sl *Slot) {
+	for i := 0; i < len(sl.Claims); i++ {
+		if id := sl.Claims[i].Job; sl.tasksOf(id) > sl.Claims[i].Had {
+			f.UseClaim(sl, id)
+			i = -1
+		}
+	}
+}
+
+// Release drops the claims of a job that is over.
+func (f *Fleet) Release(id string) {
+	if f.held[id] == 0 {
+		return
+	}
+	for sl := range f.claimed {
+		for i := len(sl.Claims) - 1; i >= 0; i-- {
+			if sl.Claims[i].Job == id {
+				f.dropClaim(sl, i)
+			}
+		}
+	}
+}
+
+// tasksOf is how many tasks of a job the machine shows, on it or on their way there.
+func (sl *Slot) tasksOf(id string) (n int) {
+	for _, list := range [...][]agent.Task{sl.V.Tasks, sl.V.Pending} {
+		for i := range list {
+			if of, _, _ := agent.SplitTask(list[i].Task); of == id && list[i].State != wire.TaskExited {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // ExpireClaims ends the claims whose time is up.
 func (f *Fleet) ExpireClaims() {
 	wall := f.r.Wall()
--- a/internal/gate/place.go
+++ b/internal/gate/place.go
@@ -76,6 +76,7 @@
 	Priority int
 	Room     agent.Room
 	Until    loop.Micros // time of day
+	Had      int         // tasks of the job that the machine showed when it was made, or whose claims were used since
 }
 
 // Closed is what keeps every task off the machine. After is the time since which a
