--- a/internal/store/mirror.go
+++ b/internal/store/mirror.go
@@ -58,7 +58,7 @@
 
 // NewMirror makes a mirror; Start reads and follows the keys.
 func NewMirror(c *Client, watch Doer, prefix string) *Mirror {
-	return &Mirror{c: c, watch: watch, prefix: prefix, rand: loop.Rand(c.r), entries: map[string]Entry{}}
+	return &Mirror{c: c, watch: watch, prefix: prefix, entries: map[string]Entry{}}
 }
 
 // On calls f for every change of a key under the prefix. A removed key has Mark 0.
@@ -120,7 +120,10 @@
 }
 
 // Start reads all keys, then follows their changes for as long as the process lives.
-func (m *Mirror) Start() { m.read() }
+func (m *Mirror) Start() {
+	m.rand = loop.Rand(m.c.r)
+	m.read()
+}
 
 func (m *Mirror) read() {
 	m.setState(MirrorReading)
