--- a/internal/floor/floor.go
+++ b/internal/floor/floor.go
@@ -88,8 +88,9 @@
 			late[w.Class] = append(late[w.Class], i)
 		}
 	}
-	turns := map[string]float64{}
+	turns, share := map[string]float64{}, map[string]int{}
 	for class, line := range late {
+		share[class] = len(line)
 		slices.SortFunc(line, func(a, b int) int {
 			return cmp.Or(cmp.Compare(all[a].Since, all[b].Since), cmp.Compare(all[a].ID, all[b].ID))
 		})
@@ -98,10 +99,6 @@
 		}
 		turns[class] = f.turns[class]
 	}
-	share := map[string]int{}
-	for class, line := range late {
-		share[class] = len(line)
-	}
 	for left > 0 && len(picks) < most && len(late) > 0 {
 		class := ""
 		for c := range loop.Sorted(late) {
--- a/internal/placer/tick.go
+++ b/internal/placer/tick.go
@@ -84,14 +84,20 @@
 // sweep repeats stops of jobs that are over, and frees what was on deleted machines.
 func (p *Placer) sweep() {
 	for m, on := range loop.Sorted(p.on) {
-		v, gone := p.agent.View(m), p.agent.IsGone(m)
-		for _, r := range sortedRefs(on.all) {
+		gone := p.agent.IsGone(m)
+		due := map[ref]struct{}{} // little of what runs is ever due
+		for r := range on.all {
+			if gone || r.t.j.Final() {
+				due[r] = struct{}{}
+			}
+		}
+		for _, r := range sortedRefs(due) {
 			if r.t.task(r.i).state != Placed {
 				continue
 			}
 			if gone {
 				p.off(r.t, r.i, "machine gone")
-			} else if v != nil && r.t.j.Final() {
+			} else {
 				p.stop(r.t, r.i, 0)
 			}
 		}
--- a/internal/store/mirror.go
+++ b/internal/store/mirror.go
@@ -142,11 +142,16 @@
 			have[it.Key] = true
 			m.Apply(it.Key, it.Value, it.Mark, false)
 		}
-		for k, e := range loop.Sorted(m.entries) {
+		var gone []string // few, if any; sorted, and not all that there is
+		for k, e := range m.entries {
 			if !have[k] && !e.gone && e.Mark <= tally {
-				m.Apply(k, nil, tally, true) // it went while we could not see
+				gone = append(gone, k)
 			}
 		}
+		sort.Strings(gone)
+		for _, k := range gone {
+			m.Apply(k, nil, tally, true) // it went while we could not see
+		}
 		// An empty store has tally 0. Taken for 1, as it was, its very first change was
 		// never seen by any node but the one that made it.
 		first := !m.known
