How far a node's knowledge of cancellations reaches is judged in one place

Cause: a node without state contact went on renewing leases while every peer said that it had no contact either, if that had ended within 3 s of its own. What a peer confirmed inside those seconds was unknown, and the extension had no end. A peer that was back at once was not asked what its earlier life had confirmed; contact counted any answer, however old the mirror.

internal/horizon: the latest moment such that every cancellation told before it is known here, moved by answered watches, by all peers together, or by one peer's own. Reports are answered while now < horizon + grace, in contact or out of it. Peers tell of cancellations beyond the mirror.

An answer to an overtaken report renewed the lease and ended nothing; it does now (found by reading, shown by a unit test).

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -169,7 +169,9 @@
 			reply(Answer{503, wire.Error{Error: "late report"}})
 			return
 		}
-		reply(Answer{200, wire.Commands{Token: m.token, Commands: []wire.Command{}}})
+		//
+		// It renews the lease like any other, so it ends what is over like any other.
+		reply(Answer{200, wire.Commands{Token: m.token, Commands: a.ends(m, []wire.Command{})}})
 		return
 	}
 	if m == nil {
@@ -299,21 +301,7 @@
 			out = append(out, wire.Command{Op: wire.OpStop, Task: k.task, Attempt: k.attempt, GraceS: &g})
 		}
 	}
-	jobs := a.Jobs(&m.view)
-	for i := range m.view.Tasks {
-		t := &m.view.Tasks[i]
-		j := jobs[i]
-		if j == nil || !j.Final() {
-			continue
-		}
-		if t.Active() {
-			// Nobody has any use for what a withdrawn job's tasks still do.
-			zero := 0.0
-			out = append(out, wire.Command{Op: wire.OpStop, Task: t.Task, Attempt: t.Attempt, GraceS: &zero})
-		} else if m.state == Held && !m.direct && m.pending[key{t.Task, t.Attempt}] == nil {
-			out = append(out, wire.Command{Op: wire.OpForget, Task: t.Task, Attempt: t.Attempt})
-		}
-	}
+	out = a.ends(m, out)
 	if !a.h.MayStart() || wall < m.closeTo {
 		return out
 	}
@@ -335,6 +323,27 @@
 	return out
 }
 
+// ends adds what ends and forgets the tasks of jobs that are over. Every answer that renews a
+// lease carries it.
+func (a *Agent) ends(m *machine, out []wire.Command) []wire.Command {
+	jobs := a.Jobs(&m.view)
+	for i := range m.view.Tasks {
+		t := &m.view.Tasks[i]
+		j := jobs[i]
+		if j == nil || !j.Final() {
+			continue
+		}
+		if t.Active() {
+			// Nobody has any use for what a withdrawn job's tasks still do.
+			zero := 0.0
+			out = append(out, wire.Command{Op: wire.OpStop, Task: t.Task, Attempt: t.Attempt, GraceS: &zero})
+		} else if m.state == Held && !m.direct && m.pending[key{t.Task, t.Attempt}] == nil {
+			out = append(out, wire.Command{Op: wire.OpForget, Task: t.Task, Attempt: t.Attempt})
+		}
+	}
+	return out
+}
+
 func (a *Agent) job(task string) *job.Job {
 	id, _, _ := SplitTask(task)
 	return a.h.Job(id)
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -238,3 +238,22 @@
 		t.Fatalf("a copy brings a deleted machine back: %+v", g.a.View("n-1"))
 	}
 }
+
+// A direct answer overtakes a report, whose answer still renews the lease: it ends what is over
+// like any other, or a task of a cancelled job would live on by answers that say nothing.
+func TestOvertakenReportEndsWhatIsOver(t *testing.T) {
+	g := newRig()
+	run := wire.ReportTask{Task: "job-1/0", Attempt: 1, State: wire.TaskRunning}
+	token := g.beat(t, 1, 0).Token
+	g.beat(t, 2, token, run)
+	g.resp = store.Response{Status: 200, Body: wire.Marshal(wire.Report{Machine: "n-1", Type: "m", Zone: "z", Session: 1, Seq: 4, Token: token, Tasks: []wire.ReportTask{run}})}
+	g.a.Check("n-1")
+	g.runWork()
+	if c := g.beat(t, 3, token, run); len(c.Commands) != 0 {
+		t.Fatalf("%v, while the job is wanted", c.Commands)
+	}
+	g.a.job("job-1/0").Phase = job.Withdrawn
+	if c := g.beat(t, 3, token, run); len(c.Commands) != 1 || c.Commands[0].Op != wire.OpStop || *c.Commands[0].GraceS != 0 {
+		t.Fatalf("the overtaken report is answered with %v", c.Commands)
+	}
+}
--- /dev/null
+++ b/internal/horizon/horizon_test.go
@@ -0,0 +1,333 @@
+package horizon
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"testing"
+
+	"cleatpick/internal/loop"
+)
+
+// hand is a steady clock moved by hand, with a zero of its own.
+type hand struct{ true, zero loop.Micros }
+
+func (h *hand) Now() loop.Micros  { return h.true - h.zero }
+func (h *hand) Wall() loop.Micros { return h.true }
+
+var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
+
+const grace = 18 * loop.Second
+
+// sim is a deployment as plainly as it can be told: what the state service holds, what each
+// node knows, and what users were told when.
+type sim struct {
+	now    loop.Micros
+	rng    *rand.Rand
+	stored []string // by version, which begins at 1
+	nodes  []*simNode
+	told   map[string]loop.Micros
+	flying []flight
+}
+
+type simNode struct {
+	label string
+	clock *hand
+	j     *Judge
+	life  loop.Micros
+	known map[string]uint64
+	upTo  int // the version up to which its mirror has all
+	cut   bool
+}
+
+type flight struct {
+	at       loop.Micros
+	from, to int
+	life     loop.Micros
+	w        *Word
+}
+
+func newSim(seed uint64, n int) *sim {
+	s := &sim{now: 1000 * loop.Second, rng: rand.New(rand.NewPCG(seed, 3)), told: map[string]loop.Micros{}}
+	for i := range n {
+		s.nodes = append(s.nodes, &simNode{label: string(rune('a' + i))})
+	}
+	for i := range n {
+		s.begin(i)
+	}
+	return s
+}
+
+// begin starts a life of a node's process, which knows nothing of the one before.
+func (s *sim) begin(i int) {
+	n := s.nodes[i]
+	n.clock = &hand{true: s.now, zero: s.now - loop.Second - s.rng.Int64N(int64(1000*loop.Second))}
+	n.life, n.known, n.upTo = s.now, map[string]uint64{}, 0
+	var peers []string
+	for k, o := range s.nodes {
+		if k != i {
+			peers = append(peers, o.label)
+		}
+	}
+	n.j = New(n.clock, quiet, n.life, grace, peers)
+	j := n.j
+	j.Take = func(o Over) bool {
+		n.known[o.Job] = o.Mark
+		j.Learn(o)
+		return true
+	}
+}
+
+// read lets a request that was sent a while ago be answered now.
+func (s *sim) read(i int, sent loop.Micros) {
+	n := s.nodes[i]
+	if n.cut {
+		return
+	}
+	for m := n.upTo; m < len(s.stored); m++ {
+		n.know(s.stored[m], uint64(m+1))
+	}
+	n.upTo = len(s.stored)
+	n.j.Mirror(max(sent, n.life)-n.clock.zero, uint64(n.upTo))
+}
+
+func (n *simNode) know(job string, mark uint64) {
+	n.known[job] = mark
+	n.j.Learn(Over{job, mark})
+}
+
+// cancel stores a cancellation by way of a node, which tells its user at once.
+func (s *sim) cancel(i int) {
+	n := s.nodes[i]
+	if n.cut || !n.j.read {
+		return
+	}
+	job := fmt.Sprint("job-", len(s.stored))
+	s.stored = append(s.stored, job)
+	n.know(job, uint64(len(s.stored)))
+	s.tell(i, job)
+}
+
+func (s *sim) tell(i int, job string) {
+	if _, was := s.told[job]; !was && s.nodes[i].known[job] != 0 {
+		s.told[job] = s.now
+	}
+}
+
+func (s *sim) step(lossy bool) {
+	s.now += s.rng.Int64N(int64(300 * loop.Millisecond))
+	for _, n := range s.nodes {
+		n.clock.true = s.now
+	}
+	i := s.rng.IntN(len(s.nodes))
+	n := s.nodes[i]
+	switch s.rng.IntN(10) {
+	case 0, 1, 2:
+		s.read(i, s.now-s.rng.Int64N(int64(2*loop.Second)))
+	case 3:
+		s.cancel(i)
+	case 4:
+		// A second request for one that another has stored: known from whatever way.
+		if len(s.stored) > 0 {
+			s.tell(i, s.stored[s.rng.IntN(len(s.stored))])
+		}
+	case 5, 6, 7:
+		for k := range s.nodes {
+			if k == i {
+				continue
+			}
+			w := n.j.Word(s.nodes[k].label)
+			for s.rng.IntN(5) > 0 { // lost, once, or repeated
+				d := s.rng.Int64N(int64(200 * loop.Millisecond))
+				if lossy && s.rng.IntN(6) == 0 {
+					d = s.rng.Int64N(int64(60 * loop.Second))
+				}
+				s.flying = append(s.flying, flight{s.now + d, i, k, n.life, w})
+				if s.rng.IntN(4) > 0 {
+					break
+				}
+			}
+		}
+	case 8:
+		if lossy && s.rng.IntN(6) == 0 {
+			n.cut = !n.cut
+		}
+	case 9:
+		if lossy && s.rng.IntN(25) == 0 {
+			s.begin(i)
+		}
+	}
+	left := s.flying[:0]
+	for _, f := range s.flying {
+		if f.at > s.now {
+			left = append(left, f)
+			continue
+		}
+		s.nodes[f.to].j.Hear(s.nodes[f.from].label, f.life, f.w)
+	}
+	s.flying = left
+}
+
+// Whatever is lost, late, repeated or begun anew: a node knows all that users were told before
+// its horizon.
+func TestAllBeforeTheHorizonIsKnown(t *testing.T) {
+	moved := 0
+	for seed := range uint64(400) {
+		s := newSim(seed, 1+int(seed%5))
+		for range 600 {
+			s.step(true)
+			for _, n := range s.nodes {
+				at := n.j.At()
+				if at == 0 {
+					continue
+				}
+				if at > n.clock.Now() {
+					t.Fatalf("seed %d: the horizon of %s lies in the future", seed, n.label)
+				}
+				for job, told := range s.told {
+					if told < at+n.clock.zero && n.known[job] == 0 {
+						t.Fatalf("seed %d: %s does not know of %s, told %d us before its horizon", seed, n.label, job, at+n.clock.zero-told)
+					}
+				}
+				if n.cut && at > n.j.at+5*loop.Second {
+					moved++
+				}
+			}
+		}
+	}
+	if moved < 1000 {
+		t.Errorf("peers moved a horizon %d times only", moved)
+	}
+}
+
+// While all nodes hear each other, their horizons go on without the state service.
+func TestPeersMoveTheHorizon(t *testing.T) {
+	for n := 1; n <= 15; n++ {
+		s := newSim(uint64(n), n)
+		for i := range s.nodes {
+			s.read(i, s.now)
+			s.nodes[i].cut = true
+		}
+		for range 200 * n {
+			s.step(false)
+		}
+		for _, x := range s.nodes {
+			if age := x.clock.Now() - x.j.At(); age > loop.Micros(n)*8*loop.Second || !x.j.read || age > 0 && n == 1 {
+				t.Errorf("%d nodes: the horizon of %s is %d us old", n, x.label, age)
+			}
+		}
+	}
+}
+
+// What makes no sense, or answers another life, is dropped and counted, and moves nothing.
+func TestNonsenseProvesNothing(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		w    Word
+		bad  bool
+	}{
+		{"sound", Word{Version: 1, Stamp: 5, Echo: 900, Life: 7, From: 10}, false},
+		{"only a question", Word{Version: 1, Stamp: 5}, false},
+		{"another version", Word{Version: 2, Stamp: 5, Echo: 900, Life: 7, From: 10}, true},
+		{"no version", Word{Stamp: 5, Echo: 900, Life: 7, From: 10}, true},
+		{"no stamp", Word{Version: 1, Echo: 900, Life: 7, From: 10}, true},
+		{"from the future", Word{Version: 1, Stamp: 5, Echo: 1001, Life: 7, From: 10}, true},
+		{"an earlier life", Word{Version: 1, Stamp: 5, Echo: 900, Life: 6, From: 10}, true},
+		{"a revision that nobody has", Word{Version: 1, Stamp: 5, Echo: 900, Life: 7, From: 11}, true},
+		{"a negative age", Word{Version: 1, Stamp: 5, Echo: 900, Life: 7, From: 10, Knows: true, Age: -5}, true},
+		{"a cancellation without a name", Word{Version: 1, Stamp: 5, Echo: 900, Life: 7, From: 10, Over: []Over{{"", 12}}}, true},
+		{"a cancellation from before", Word{Version: 1, Stamp: 5, Echo: 900, Life: 7, From: 10, Over: []Over{{"job-000001", 10}}}, true},
+		{"one that cannot be kept", Word{Version: 1, Stamp: 5, Echo: 900, Life: 7, From: 10, Over: []Over{{"full", 12}}}, true},
+	} {
+		j := New(&hand{true: 1000}, quiet, 7, grace, []string{"b"})
+		j.Take = func(o Over) bool { return o.Job != "full" }
+		dropped := 0
+		j.Dropped = func(string, string) { dropped++ }
+		j.Mirror(100, 10)
+		j.Hear("b", 3, &c.w)
+		want := loop.Micros(900)
+		if c.bad || c.w.Echo == 0 {
+			want = 100
+		}
+		if j.At() != want || (dropped > 0) != c.bad {
+			t.Errorf("%s: the horizon is %d, not %d; %d words were dropped", c.name, j.At(), want, dropped)
+		}
+		j.Hear("nobody", 3, &c.w)
+		j.Hear("b", 3, nil)
+	}
+}
+
+// A process that is back counts its time anew. Its questions are answered although their stamps
+// are smaller than those of its earlier life; of one life only the newest is.
+func TestTheNewLifeIsAnswered(t *testing.T) {
+	j := New(&hand{true: 1000}, quiet, 7, grace, []string{"b"})
+	j.Mirror(100, 10)
+	for _, c := range [][4]loop.Micros{{3, 800, 3, 800}, {3, 700, 3, 800}, {4, 20, 4, 20}, {4, 30, 4, 30}, {4, 25, 4, 30}} {
+		j.Hear("b", c[0], &Word{Version: 1, Stamp: c[1], Reach: 10})
+		if w := j.Word("b"); w.Life != c[2] || w.Echo != c[3] {
+			t.Errorf("after %d of life %d, %d of life %d is answered", c[1], c[0], w.Echo, w.Life)
+		}
+	}
+}
+
+// More cancellations than are kept: a peer that lacks one of those that were dropped is not
+// answered, and one that does not is.
+func TestMoreThanIsKept(t *testing.T) {
+	j := New(&hand{true: 1000}, quiet, 7, grace, []string{"b"})
+	j.Mirror(100, 10000)
+	for k := range 5000 {
+		j.Learn(Over{fmt.Sprint(k), uint64(1 + (k*7919)%5000)})
+	}
+	lowest := uint64(5000 - mostRecent)
+	for _, reach := range []uint64{0, lowest - 1, lowest, lowest + 1, 4999, 5000} {
+		j.Hear("b", 3, &Word{Version: 1, Stamp: 5 + loop.Micros(reach), Reach: reach})
+		w := j.Word("b")
+		if answered := w.Echo != 0; answered != (reach >= lowest) || answered && len(w.Over) != int(5000-reach) {
+			t.Errorf("up to %d: %d of %d cancellations are told, as an answer to %d", reach, len(w.Over), 5000-reach, w.Echo)
+		}
+	}
+}
+
+// The states in their order, and the time that is left by arithmetic.
+func TestStates(t *testing.T) {
+	c := &hand{true: 100 * loop.Second}
+	j := New(c, quiet, 7, grace, []string{"b", "c"})
+	var got []string
+	look := func(at loop.Micros) {
+		c.true = at * loop.Second
+		j.Look()
+		got = append(got, fmt.Sprint(j.State(), j.Holds()))
+	}
+	look(100)
+	j.Mirror(100*loop.Second, 10)
+	look(101)
+	c.true = 108 * loop.Second
+	for _, p := range []string{"b", "c"} {
+		j.Hear(p, 3, &Word{Version: 1, Stamp: 5, Echo: 108 * loop.Second, Life: 7, From: 10})
+	}
+	look(109)
+	j.Hear("b", 3, &Word{Version: 1, Stamp: 6, Echo: 109 * loop.Second, Life: 7, From: 10}) // c holds it back
+	look(120)
+	look(125)
+	look(126)
+	j.Hear("b", 3, &Word{Version: 1, Stamp: 7, Echo: 126 * loop.Second, Life: 7, From: 10, Knows: true, Age: loop.Second})
+	look(126)
+	if s, want := fmt.Sprint(got), "[blind false current true shared true aging true aging true lapsed false shared true]"; s != want {
+		t.Errorf("%s, not %s", s, want)
+	}
+	for _, x := range [][3]loop.Micros{{26500, 46500, 18000}, {17500, 47500, 28000}, {10000, 11000, 750}} {
+		if g := Grace(x[0]*1000, x[1]*1000); g != x[2]*1000 {
+			t.Errorf("lease %d, cancellation %d: %d us are left, not %d", x[0], x[1], g, x[2]*1000)
+		}
+	}
+	for _, x := range []struct {
+		grace loop.Micros
+		rps   float64
+		want  loop.Micros
+	}{{18 * loop.Second, 54, 2 * loop.Second}, {18 * loop.Second, 4, 5 * loop.Second}, {18 * loop.Second, 0.1, 9 * loop.Second}, {loop.Second, 100, loop.Second / 4}, {8 * loop.Second, 54, loop.Second}} {
+		if got := Wait(x.grace, x.rps); got != x.want {
+			t.Errorf("%+v: a watch waits %d us", x, got)
+		}
+	}
+}
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -43,6 +43,7 @@
 	line     *admission.Line // of the creates that wait for their record
 	creating bool
 	asked    inquiries
+	told     int // jobs that only a peer's word calls withdrawn
 	// OnJob is called whenever a job's record is new or has changed.
 	OnJob func(*Job)
 }
@@ -85,6 +86,7 @@
 		b.jobs[id] = j
 	}
 	j.Mark, j.Phase, j.At = e.Mark, rec.Phase, rec.At
+	b.settleTold(j)
 	if rec.Spec != nil {
 		j.Spec, j.Tasks = rec.Spec, rec.Spec.Tasks
 	} else {
--- a/internal/job/record.go
+++ b/internal/job/record.go
@@ -85,6 +85,9 @@
 	Spec  *Spec
 	Tasks int
 	Terms Terms
+	// Told is the version in which a peer knows the job as withdrawn, while it is only known
+	// here by that; 0: it is not.
+	Told uint64
 }
 
 // Final tells whether the job is over.
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -39,6 +39,8 @@
 	moments  *prometheus.HistogramVec
 	reruns   prometheus.Histogram
 	earlier  prometheus.Counter
+	horizon  prometheus.Gauge
+	words    prometheus.Counter
 }
 
 // Seconds from a millisecond to an hour, and from a tenth of a millisecond to seconds.
@@ -91,6 +93,9 @@
 	m.reg.MustRegister(m.doubtful, m.moments)
 	m.reruns = histogram("rerun_seconds", "From the last word of a machine that was lost until a task of it ran again.", longBuckets)
 	m.earlier = counter("earlier_frames_total", "Frames dropped since an earlier life of a peer's process had sent them.")
+	m.horizon = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "cleatpick", Name: "horizon_age_seconds", Help: "How old this node's knowledge of cancellations is; workers are let go when it is too old."})
+	m.reg.MustRegister(m.horizon)
+	m.words = counter("horizon_words_dropped_total", "Peers' words on cancellations that made no sense, and proved nothing.")
 	m.reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -126,6 +131,20 @@
 	}
 }
 
+// Horizon sets how old the knowledge of cancellations is.
+func (m *Meter) Horizon(age loop.Micros) {
+	if m != nil {
+		m.horizon.Set(seconds(age))
+	}
+}
+
+// HorizonWord counts a peer's word on cancellations that made no sense.
+func (m *Meter) HorizonWord() {
+	if m != nil {
+		m.words.Inc()
+	}
+}
+
 // Start counts a start that was handed on.
 func (m *Meter) Start() {
 	if m != nil {
--- a/internal/node/addition_hand_test.go
+++ b/internal/node/addition_hand_test.go
@@ -13,10 +13,14 @@
 )
 
 // handWorld is a deployment full of long tasks, a minute old.
-func handWorld(t *testing.T, nodes int) *world {
+func handWorld(t *testing.T, nodes int) *world { return handWorldOf(t, nodes, 1, 10, 30) }
+
+// handWorldOf is the same with other times of the workers, in seconds.
+func handWorldOf(t *testing.T, nodes int, report, lease, cancel float64) *world {
 	w := newWorldOf(t, 9, size{nodes: nodes, zones: 2, each: 10}, func(c *config.Config) {
 		c.Cluster.Teams = []config.Team{{Name: "red", CPUs: 60}, {Name: "blue", CPUs: 40}}
 		c.Operator.StandbyMeanS, c.Operator.OrdinaryStandbyMeanS = 1e6, 1e6
+		c.Cluster.Workers.ReportS, c.Cluster.Workers.LeaseS, c.Cluster.Workers.CancelS = report, lease, cancel
 	})
 	for i := range 16 {
 		w.at(loop.Second, func() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 	"cleatpick/internal/cordon"
 	"cleatpick/internal/fleet"
 	"cleatpick/internal/front"
+	"cleatpick/internal/horizon"
 	"cleatpick/internal/job"
 	"cleatpick/internal/loop"
 	"cleatpick/internal/loss"
@@ -45,6 +46,7 @@
 	rental   *rental.Rental
 	net      *peer.Net
 	reach    *reach.Judge
+	horizon  *horizon.Judge
 	front    *front.Front
 	out      Outside
 	progress map[string]job.Counts
@@ -127,6 +129,7 @@
 	n.reach.Changed = func(_ string, to reach.State, damped bool) { n.meter.Peer(to.String(), damped) }
 	n.net.Life, n.net.ClockTo = l.Wall(), loop.Micros(cfg.Cluster.ClockOffMS*2000)
 	n.net.Earlier = func(string) { n.meter.EarlierFrame() }
+	n.overlook()
 	n.agent = agent.New(l, log, agent.Host{
 		Label:     cfg.Label,
 		Life:      n.net.Life,
@@ -212,6 +215,9 @@
 	})
 	n.rental.OnGone = n.placer.Gone
 	n.book.OnJob = func(j *job.Job) {
+		if j.Phase == job.Withdrawn {
+			n.horizon.Learn(horizon.Over{Job: j.ID, Mark: j.WithdrawnAt()})
+		}
 		if j.Final() {
 			delete(n.progress, j.ID)
 			if n.more != nil {
@@ -271,6 +277,7 @@
 	if s := e.Status; s != nil {
 		n.reach.Hear(e.From, reach.Word{Wall: s.Wall, Contact: s.Contact, Hears: s.Hears})
 	}
+	n.horizon.Hear(e.From, e.Life, e.Horizon)
 	for _, v := range e.Views {
 		if v != nil && v.Name != "" {
 			n.agent.Learn(v)
@@ -359,43 +366,21 @@
 	return ""
 }
 
-// mayAnswer tells whether reports may be answered. Without state contact a node
-// must not hold workers' leases for so long that a cancellation told elsewhere
-// could not be kept; while no node has contact, none can be told.
+// mayAnswer tells whether reports may be answered, else where to send the worker. Each answer
+// holds a lease, so how far the knowledge of cancellations reaches decides, and nothing else.
 func (n *Node) mayAnswer() (bool, string) {
 	if n.member.Epoch() == 0 {
 		return false, n.coach()
 	}
-	if n.member.Entitled() && n.contact() {
-		return true, ""
-	}
-	if to := n.coach(); to != "" && n.loop.Now()-n.client.Contact() > contactAge {
-		return false, to
-	}
-	return n.loop.Now() < n.answerUntil(), ""
-}
-
-// answerUntil is when workers must be let go, if the state service stays away.
-func (n *Node) answerUntil() loop.Micros {
-	w := n.cfg.Cluster.Workers
-	margin := 3*loop.Second + loop.Micros(n.cfg.Cluster.ClockOffMS*2000)
-	grace := loop.Seconds(w.CancelS) - loop.Seconds(w.LeaseS) - margin
-	last := n.client.Contact()
-	base := n.loop.Now()
-	if last == 0 {
-		return 0
-	}
-	for _, label := range n.net.Peers() {
-		s, fresh := n.freshPeer(label)
-		k := n.net.Known(label)
-		silentSince := k.Heard - s.NoContact // when the peer's last contact began, by our clock
-		if fresh && !s.Contact && s.NoContact > 0 && silentSince <= last+3*loop.Second {
-			base = min(base, k.Heard)
-		} else {
-			base = min(base, last)
+	if !n.contact() {
+		if to := n.coach(); to != "" {
+			return false, to
 		}
 	}
-	return base + max(grace, 0)
+	if !n.horizon.Holds() {
+		return false, n.coach()
+	}
+	return true, ""
 }
 
 // coach names a peer that has state contact: one that is trusted, if there is any. The
@@ -444,11 +429,12 @@
 			s.Hears = append(s.Hears, label)
 		}
 	}
-	if !s.Contact {
-		s.NoContact = max(n.loop.Now()-n.client.Contact()-1500*loop.Millisecond, 0)
-	}
 	places := n.book.Places()
 	n.net.All(func(e *peer.Envelope) { e.Status, e.Places = s, places })
+	n.meter.Horizon(n.horizon.Look())
+	for _, label := range n.net.Peers() {
+		n.net.To(label, func(e *peer.Envelope) { e.Horizon = n.horizon.Word(label) })
+	}
 }
 
 // Begin starts the slices, on the loop.
--- /dev/null
+++ b/internal/node/overlook.go
@@ -0,0 +1,22 @@
+package node
+
+import (
+	"cleatpick/internal/horizon"
+	"cleatpick/internal/loop"
+)
+
+// overlook wires the judge of how far this node's knowledge of cancellations reaches to what
+// moves it: the mirror, the peers, and every way in which a cancellation is learnt here.
+func (n *Node) overlook() {
+	w := &n.cfg.Cluster.Workers
+	grace := horizon.Grace(loop.Seconds(w.LeaseS), loop.Seconds(w.CancelS))
+	n.mirror.Wait = horizon.Wait(grace, n.cfg.Cluster.State.RPS*0.9/float64(max(n.cfg.Cluster.Nodes, 1)))
+	n.horizon = horizon.New(n.loop, n.log, n.net.Life, grace, n.net.Peers())
+	n.mirror.Synced = n.horizon.Mirror
+	n.horizon.Take = func(o horizon.Over) bool { return n.book.Withdrawn(o.Job, o.Mark) }
+	n.horizon.Dropped = func(string, string) { n.meter.HorizonWord() }
+	if grace < 2*contactAge {
+		n.log.Warn("cluster.workers.cancel_s is so close to cluster.workers.lease_s that work outlives hardly any outage of the state service",
+			"cancel_s", w.CancelS, "lease_s", w.LeaseS, "left_us", grace)
+	}
+}
--- a/internal/node/world_machine_test.go
+++ b/internal/node/world_machine_test.go
@@ -117,7 +117,8 @@
 						if !x.hanging {
 							x.w.Answered(w.now, sent, r.Session, c)
 						}
-						again(w.between(750*loop.Millisecond, 1250*loop.Millisecond))
+						each := loop.Seconds(w.cfg.Cluster.Workers.ReportS)
+						again(w.between(each*3/4, each*5/4))
 						return
 					}
 					if to, ok := a.Body.(wire.ReportTo); ok && to.Node != "" && to.Node != label {
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -79,6 +79,7 @@
 	copies   float64        // the part of all reports of which a copy comes late
 	seed     uint64
 	messages hash.Hash   // of every message with its time; nil: none is kept
+	shunned  string      // a node that no user reaches
 	calm     loop.Micros // when all troubles are over; 0: that is not judged
 }
 
@@ -238,6 +239,21 @@
 	})
 }
 
+// watch is a link to the state service that may be lost by itself, as a watch that is silent.
+type watch struct {
+	link
+	by string
+}
+
+func (l watch) Do(method, path string, body []byte, d time.Duration) store.Response {
+	if mode := l.w.cut[l.by]; mode != open {
+		return outside(l.w, func() store.Response {
+			return l.w.crossBy(mode, func() store.Response { return l.do(method, path, body) })
+		})
+	}
+	return l.link.Do(method, path, body, d)
+}
+
 func (w *world) cross(name string, f func() store.Response) store.Response {
 	return w.crossBy(w.cut[name], f)
 }
@@ -364,7 +380,7 @@
 		s.carried(p, b)
 		return resp
 	}}
-	s.n = Wire(&cfg, slog.New(w.logs(label)), Outside{Loop: r, State: state, Watch: state,
+	s.n = Wire(&cfg, slog.New(w.logs(label)), Outside{Loop: r, State: state, Watch: watch{state, label + ">watch"},
 		Cloud: link{w, label + ">cloud", func(m, p string, b []byte) store.Response {
 			w.note(label+" asks the cloud "+m+p, b)
 			resp := w.cloud.Do(m, p, b, 0)
@@ -427,8 +443,9 @@
 // door picks where a request goes in. A node that stands still takes it too, and handles
 // it when it wakes.
 func (w *world) door() *simNode {
-	s := w.nodes[w.labels[w.rng.IntN(len(w.labels))]]
-	if !s.alive || !s.n.ready() {
+	l := w.labels[w.rng.IntN(len(w.labels))]
+	s := w.nodes[l]
+	if !s.alive || !s.n.ready() || l == w.shunned {
 		return nil
 	}
 	return s
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -20,6 +20,7 @@
 	"cleatpick/internal/agent"
 	"cleatpick/internal/config"
 	"cleatpick/internal/gate"
+	"cleatpick/internal/horizon"
 	"cleatpick/internal/loop"
 	"cleatpick/internal/wire"
 
@@ -28,11 +29,11 @@
 
 // Status is what a node tells the others about itself.
 type Status struct {
-	Wall      loop.Micros `cbor:"1,keyasint"`
-	Contact   bool        `cbor:"2,keyasint"` // the state service answers it
-	NoContact loop.Micros `cbor:"3,keyasint"` // for how long it has not been answered
-	Hosted    int         `cbor:"4,keyasint"`
-	Hears     []string    `cbor:"5,keyasint"` // peers that it hears; nil from versions that do not tell
+	Wall    loop.Micros `cbor:"1,keyasint"`
+	Contact bool        `cbor:"2,keyasint"` // the state service answers it
+	// 3 was, before 0.7.0, for how long it had not been answered.
+	Hosted int      `cbor:"4,keyasint"`
+	Hears  []string `cbor:"5,keyasint"` // peers that it hears; nil from versions that do not tell
 }
 
 // Want is a group of alike tasks that found no room, as part of an owner's tally.
@@ -134,6 +135,8 @@
 	Places []admission.Place `cbor:"18,keyasint,omitempty"`
 	// Life is the time of day at which the sender's process began.
 	Life loop.Micros `cbor:"19,keyasint,omitempty"`
+	// Horizon is what the sender asks and answers about cancellations.
+	Horizon *horizon.Word `cbor:"20,keyasint,omitempty"`
 }
 
 const (
--- a/internal/store/mirror.go
+++ b/internal/store/mirror.go
@@ -42,8 +42,21 @@
 	subs    []sub
 	ready   []func()
 	rand    *rand.Rand
+	// Wait is for how long a watch stays open with nothing to tell.
+	Wait loop.Micros
+	// Synced is called when all that an answer tells has been taken in: when its request was
+	// sent, and the revision up to which every change is known. It may be nil.
+	Synced func(sent loop.Micros, reach uint64)
+	slack  loop.Micros // beyond the wait, after which a watch counts as lost
 }
 
+const (
+	// A watch whose connection is dead is given up after this and its wait, and after twice as
+	// much each time that brings nothing: a service that is slow must not be asked in vain.
+	leastSlack = 3 * loop.Second
+	mostSlack  = 24 * loop.Second
+)
+
 // removal is a key that was removed. Its version is kept for a while, so that what was
 // told late of the key before does not bring it back.
 type removal struct {
@@ -58,7 +71,7 @@
 
 // NewMirror makes a mirror; Start reads and follows the keys.
 func NewMirror(c *Client, watch Doer, prefix string) *Mirror {
-	return &Mirror{c: c, watch: watch, prefix: prefix, entries: map[string]Entry{}}
+	return &Mirror{c: c, watch: watch, prefix: prefix, entries: map[string]Entry{}, Wait: 20 * loop.Second, slack: leastSlack}
 }
 
 // On calls f for every change of a key under the prefix. A removed key has Mark 0.
@@ -127,6 +140,7 @@
 
 func (m *Mirror) read() {
 	m.setState(MirrorReading)
+	sent := m.c.r.Now()
 	m.c.Scan(Answers, m.prefix, func(items []wire.Item, tally uint64, ok bool) {
 		if !ok {
 			// Nodes that start together must not ask together.
@@ -157,6 +171,7 @@
 		first := !m.known
 		m.known, m.since = true, tally
 		m.setState(MirrorWatching)
+		m.synced(sent)
 		if first {
 			for _, f := range m.ready {
 				f()
@@ -171,9 +186,10 @@
 func (m *Mirror) follow() {
 	now := m.c.r.Now()
 	m.c.reads.have--
-	path := "/changes?under=" + m.prefix + "&since=" + strconv.FormatUint(m.since, 10) + "&waitMs=20000"
+	path := "/changes?under=" + m.prefix + "&since=" + strconv.FormatUint(m.since, 10) + "&waitMs=" + strconv.FormatInt(m.Wait/loop.Millisecond, 10)
+	timeout := loop.Duration(m.Wait + m.slack)
 	m.c.r.Go(func() {
-		resp := m.watch.Do("GET", path, nil, loop.Duration(26*loop.Second))
+		resp := m.watch.Do("GET", path, nil, timeout)
 		m.c.r.Post(func() { m.followed(now, resp) })
 	})
 }
@@ -186,9 +202,13 @@
 	var ev wire.Events
 	if resp.Err != nil || resp.Status != 200 || wire.Unmarshal(resp.Body, &ev) != nil {
 		m.c.note(sent, resp)
+		if resp.Err != nil {
+			m.slack = min(2*m.slack, mostSlack)
+		}
 		m.c.r.After(200*loop.Millisecond, m.follow)
 		return
 	}
+	m.slack = leastSlack
 	for _, e := range ev.Events {
 		if e.Put != "" {
 			m.Apply(e.Put, e.Value, e.Mark, false)
@@ -197,6 +217,7 @@
 		}
 	}
 	m.since = max(m.since, ev.Tally)
+	m.synced(sent)
 	for len(m.removed) > 0 && m.removed[0].mark+5000 < m.since {
 		if x := m.removed[0]; m.entries[x.key].gone && m.entries[x.key].Mark == x.mark {
 			delete(m.entries, x.key)
@@ -205,3 +226,9 @@
 	}
 	m.c.r.After(60*loop.Millisecond, m.follow)
 }
+
+func (m *Mirror) synced(sent loop.Micros) {
+	if m.Synced != nil {
+		m.Synced(sent, m.since)
+	}
+}
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -71,6 +73,69 @@
 	})
 }
 
+// late is a state service whose answers take their time.
+type late struct {
+	r     *still
+	takes loop.Micros
+	resp  func(path string) Response
+	asked []time.Duration // the time limits of the requests
+}
+
+func (l *late) Do(_, path string, _ []byte, limit time.Duration) Response {
+	l.r.now += l.takes
+	l.asked = append(l.asked, limit)
+	return l.resp(path)
+}
+
+// What an answer tells was certainly so when it was asked for, and not when it came: a watch
+// may have been answered long before. One that brings nothing tells nothing, and is given more
+// time the next time, so that a slow service is not asked in vain for ever.
+func TestSyncedCountsFromTheRequest(t *testing.T) {
+	r := &still{now: 100 * loop.Second}
+	tally := uint64(7)
+	lost := false
+	l := &late{r: r, takes: loop.Second, resp: func(path string) Response {
+		switch {
+		case lost:
+			return Response{Err: io.EOF}
+		case strings.HasPrefix(path, "/changes"):
+			return Response{Status: 200, Body: wire.Marshal(wire.Events{Tally: tally})}
+		}
+		return Response{Status: 200, Body: wire.Marshal(wire.Range{Tally: tally})}
+	}}
+	m := NewMirror(NewClient(r, l, slog.New(slog.NewTextHandler(io.Discard, nil)), 100, 100, 1), l, "c/")
+	m.Wait = 2 * loop.Second
+	var got [][2]loop.Micros
+	m.Synced = func(sent loop.Micros, reach uint64) { got = append(got, [2]loop.Micros{sent, loop.Micros(reach)}) }
+	m.Start()
+	next := func() {
+		f := r.after[len(r.after)-1]
+		r.after = nil
+		f()
+	}
+	tally = 9
+	next()
+	lost = true
+	for range 6 {
+		next()
+	}
+	lost, tally = false, 12
+	next()
+	next()
+	s := loop.Second
+	want := [][2]loop.Micros{{100 * s, 7}, {101 * s, 7}, {102 * s, 9}, {109 * s, 12}, {110 * s, 12}}
+	if !slices.Equal(got, want) {
+		t.Errorf("synced as of %v, not %v", got, want)
+	}
+	var limits []int
+	for _, d := range l.asked[1:] {
+		limits = append(limits, int(d/time.Second))
+	}
+	if !slices.Equal(limits, []int{5, 5, 5, 8, 14, 26, 26, 26, 26, 5}) {
+		t.Errorf("watches were given %v s", limits)
+	}
+}
+
 // Leases go first and are never paced; everything else keeps to this node's share.
 func TestPacingLetsLeasesThrough(t *testing.T) {
 	r := &still{now: loop.Second}
