--- a/internal/health/blame.go
+++ b/internal/health/blame.go
@@ -153,12 +153,24 @@
 // anywhere stands for the machine of a task that has failed on several.
 const anywhere = "*"
 
-// failed takes in that a task has failed.
+// failed takes in that a task has failed. A machine at fault rests for it, whether or not the
+// task itself speaks against it: a proven one was once offered the same task 166 times, since
+// that one had failed elsewhere too.
 func (b *Blame) failed(now loop.Micros, machine, id, task string) {
 	if !b.live(id) {
 		return
 	}
-	m, j := b.machines[machine], b.job(id)
+	m := b.machines[machine]
+	b.accuse(m, machine, id, task)
+	if now >= m.until && b.AtFault(machine) {
+		m.until = now + min(120*loop.Second, 15*loop.Second<<min(m.rests, 3))
+		m.rests++
+	}
+}
+
+// accuse takes a failure for a word against its machine, where it is one.
+func (b *Blame) accuse(m *accused, machine, id, task string) {
+	j := b.job(id)
 	if len(j.on) < mostFailed {
 		j.on[machine] = struct{}{}
 	}
@@ -178,10 +190,6 @@
 		m.words[id] = w
 	}
 	w[task] = false
-	if now >= m.until && b.AtFault(machine) {
-		m.until = now + min(120*loop.Second, 15*loop.Second<<min(m.rests, 3))
-		m.rests++
-	}
 }
 
 // takeBack drops a task's word against a machine.
--- a/internal/health/blame_test.go
+++ b/internal/health/blame_test.go
@@ -196,6 +196,8 @@
 			[]string{"a"}, map[string]int{"job-1": 0, "job-2": 0, "job-3": 0}},
 		{"a task that failed there completes elsewhere", [][]ending{fails(2*s, "a", "job-1", 1, 8), ok(5*s, "b", "job-1", 1), fails(6*s, "a", "job-1", 10, 1)},
 			[]string{"a"}, map[string]int{"job-1": 0}},
+		{"a machine that is proven fails a task that failed elsewhere too", [][]ending{fails(2*s, "c", "job-1", 1, 1), fails(3*s, "a", "job-1", 2, 1), ok(4*s, "b", "job-1", 2), fails(5*s, "a", "job-1", 1, 1)},
+			[]string{"a"}, map[string]int{"job-1": 0}},
 		{"two jobs broken in some of their tasks", [][]ending{ok(s, "b", "job-1", 0), ok(s, "b", "job-2", 0), fails(2*s, "a", "job-1", 1, 3), fails(3*s, "a", "job-2", 1, 3), fails(9*s, "a", "job-1", 1, 3)},
 			nil, map[string]int{"job-1": 1, "job-2": 1}},
 		{"a new job on three machines that fail everything", [][]ending{ok(s, "x", "job-7", 0), ok(s, "x", "job-8", 0),
