An answer to a transaction that does not come is given up after 0.4 s, not 1.5

Cause: one write of a team is under way at a time, and who waits for a lost answer stands still for 1.5 s. The wait grows again, to 1.5 s as before, while three in a row do not come: a slow service.

--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -151,6 +151,7 @@
 	// Meter counts requests by outcome; it may be nil.
 	Meter *metric.Meter
 
+	lost int // answers in a row that did not come in time
 	// lastOK is when the newest request that was answered well was sent.
 	lastOK loop.Micros
 	// LastBad is when the newest failure came.
@@ -308,12 +309,29 @@
 // Failing tells whether the newest word from the service was a failure.
 func (c *Client) Failing() bool { return c.lastBad > c.lastOK }
 
+const (
+	// A transaction whose answer does not come is repeated or asked about, and whoever waits for
+	// it stands still meanwhile. So none waits for much longer than answers take, unless several
+	// in a row did not come: then the service is slow, and asked in vain.
+	soon      = 400 * loop.Millisecond
+	atLast    = 1500 * loop.Millisecond
+	lostInRow = 3
+)
+
+// patience is how long an answer to a transaction is waited for.
+func (c *Client) patience() loop.Micros { return min(soon<<min(c.lost/lostInRow, 4), atLast) }
+
 // Txn runs a transaction.
 func (c *Client) Txn(p Prio, t wire.Txn, cb func(Result)) {
 	if t.If == nil {
 		t.If = []wire.Cond{}
 	}
-	c.Send(p, len(t.Then), "POST", "/multi", t, 1500*loop.Millisecond, func(resp Response) {
+	c.Send(p, len(t.Then), "POST", "/multi", t, c.patience(), func(resp Response) {
+		if resp.Err == nil {
+			c.lost = 0
+		} else if !errors.Is(resp.Err, errQueue) {
+			c.lost++
+		}
 		cb(c.outcome(resp))
 	})
 }
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -190,3 +190,39 @@
 		}
 	}
 }
+
+// Who waits for a transaction stands still: an answer that is lost is given up soon, and the
+// wait grows only while several in a row do not come, since the service is slow then.
+func TestLostAnswersAreGivenUpSoon(t *testing.T) {
+	r := &still{now: 100 * loop.Second}
+	lost := func(n int) bool { return n%3 != 0 } // two of three
+	n := 0
+	l := &late{r: r, takes: 2 * loop.Second, resp: func(string) Response {
+		if n++; lost(n) {
+			return Response{Err: io.EOF}
+		}
+		return Response{Status: 200, Body: wire.Marshal(wire.TxnResult{Tally: 1})}
+	}}
+	c := NewClient(r, l, slog.New(slog.NewTextHandler(io.Discard, nil)), 1000, 1000, 1)
+	waits := func(times int) (out []int) {
+		l.asked = nil
+		for range times {
+			c.Txn(Answers, wire.Txn{}, func(Result) {})
+		}
+		for _, d := range l.asked {
+			out = append(out, int(d/time.Millisecond))
+		}
+		return out
+	}
+	if got := waits(12); !slices.Equal(got, []int{400, 400, 400, 400, 400, 400, 400, 400, 400, 400, 400, 400}) {
+		t.Errorf("with two of three lost, %v ms are waited", got)
+	}
+	lost = func(int) bool { return true }
+	if got := waits(9); !slices.Equal(got, []int{400, 400, 400, 800, 800, 800, 1500, 1500, 1500}) {
+		t.Errorf("with all lost, %v ms are waited", got)
+	}
+	lost = func(int) bool { return false }
+	if got := waits(2); !slices.Equal(got, []int{1500, 400}) {
+		t.Errorf("once they come again, %v ms are waited", got)
+	}
+}
