--- a/internal/node/gap_test.go
+++ b/internal/node/gap_test.go
@@ -283,11 +283,7 @@
 		}
 	}
 	w.at(15*loop.Second, strike)
-	w.at(0, w.live)
-	w.at(0, w.checkCancelled)
-	w.at(0, w.checkBeliefs)
-	w.at(0, w.checkKnown)
-	w.calm = 3600*loop.Second + 300*loop.Second
+	w.judged(300 * loop.Second)
 	return w
 }
 
--- a/internal/node/meetings_test.go
+++ b/internal/node/meetings_test.go
@@ -129,11 +129,7 @@
 		})
 	}
 	w.at(15*loop.Second, strike)
-	w.at(0, w.live)
-	w.at(0, w.checkCancelled)
-	w.at(0, w.checkBeliefs)
-	w.at(0, w.checkKnown)
-	w.calm = 3600*loop.Second + 260*loop.Second
+	w.judged(260 * loop.Second)
 	return w
 }
 
--- a/internal/node/world_referee_test.go
+++ b/internal/node/world_referee_test.go
@@ -157,6 +157,16 @@
 	w.at(loop.Second, w.checkKnown)
 }
 
+// judged lets the world live, and the referee look at it from now on; calm is how long after its
+// beginning all troubles are over.
+func (w *world) judged(calm loop.Micros) {
+	w.at(0, w.live)
+	w.at(0, w.checkCancelled)
+	w.at(0, w.checkBeliefs)
+	w.at(0, w.checkKnown)
+	w.calm = 3600*loop.Second + calm
+}
+
 // checkBeliefs looks for nodes that hold themselves for entitled although their lease has
 // run out. One that peers have ended is another matter: all that hangs on it is fenced.
 func (w *world) checkBeliefs() {
