--- a/internal/node/addition_test.go
+++ b/internal/node/addition_test.go
@@ -90,17 +90,25 @@
 	{"machines back at once", func(w *world) { w.rebirth(w.some(0.2 * w.rng.Float64())) }},
 }
 
-// addedWorld is a deployment with jobs to come, and with the additions alone, in pairs, and
-// beside everything that was met before.
-func addedWorld(t testing.TB, seed uint64) *world {
-	r := rand.New(rand.NewPCG(seed, 23))
+// drawnWorld is a deployment of a size that is drawn, with two teams and a visiting one, and how
+// many jobs it is to have.
+func drawnWorld(t testing.TB, seed uint64, r *rand.Rand, more func(*config.Config)) (w *world, jobs int) {
 	z := drawSize(r)
-	w := newWorldOf(t, seed, z, func(c *config.Config) {
+	w = newWorldOf(t, seed, z, func(c *config.Config) {
 		n := float64(z.zones * z.each * 8)
 		c.Cluster.Teams = []config.Team{{Name: "red", CPUs: n / 5, CPUsMax: max(n/3, 8)}, {Name: "blue", CPUs: n / 8, CPUsMax: max(n/2, 8)}, {Name: "guest"}}
+		more(c)
 	})
 	w.cloud.Lag = loop.Micros(r.IntN(3)) * loop.Second
-	for i := range 30 + z.zones*z.each/4 {
+	return w, 30 + z.zones*z.each/4
+}
+
+// addedWorld is a deployment with jobs to come, and with the additions alone, in pairs, and
+// beside everything that was met before.
+func addedWorld(t testing.TB, seed uint64) *world {
+	r := rand.New(rand.NewPCG(seed, 23))
+	w, jobs := drawnWorld(t, seed, r, func(*config.Config) {})
+	for i := range jobs {
 		w.at(w.between(loop.Second, 120*loop.Second), func() { w.addJob(i) })
 	}
 	if r.IntN(3) == 0 {
--- a/internal/node/meetings_test.go
+++ b/internal/node/meetings_test.go
@@ -98,16 +98,12 @@
 // before, with jobs of two or three tasks that end far apart beside others.
 func meetWorld(t testing.TB, seed uint64) *world {
 	r := rand.New(rand.NewPCG(seed, 41))
-	z := drawSize(r)
-	w := newWorldOf(t, seed, z, func(c *config.Config) {
-		n := float64(z.zones * z.each * 8)
-		c.Cluster.Teams = []config.Team{{Name: "red", CPUs: n / 5, CPUsMax: max(n/3, 8)}, {Name: "blue", CPUs: n / 8, CPUsMax: max(n/2, 8)}, {Name: "guest"}}
+	w, jobs := drawnWorld(t, seed, r, func(c *config.Config) {
 		if r.IntN(2) == 0 {
 			c.Cluster.Workers.ReportS, c.Cluster.Workers.LeaseS, c.Cluster.Workers.CancelS = 3, 18, 40
 		}
 	})
-	w.cloud.Lag = loop.Micros(r.IntN(3)) * loop.Second
-	for i := range 30 + z.zones*z.each/4 {
+	for i := range jobs {
 		w.at(w.between(loop.Second, 120*loop.Second), func() {
 			j := w.makeJob(i)
 			if r.IntN(3) == 0 {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -20,14 +20,12 @@
 
 // takes is how long a task runs.
 func (j *Job) takes(task string) loop.Micros {
-	no, _ := strconv.Atoi(task[len(jobOf(task))+1:])
-	return j.Run + loop.Micros(no)*j.Later
+	return j.Run + loop.Micros(number(task))*j.Later
 }
 
 // fails tells whether the task fails wherever it runs.
 func (j *Job) fails(task string) bool {
-	no, _ := strconv.Atoi(task[len(jobOf(task))+1:])
-	return j.Broken && (j.Every == 0 || no%j.Every == 0)
+	return j.Broken && (j.Every == 0 || number(task)%j.Every == 0)
 }
 
 type workerTask struct {
@@ -103,6 +101,12 @@
 	}
 }
 
+// number is which of its job's tasks a task is.
+func number(task string) int {
+	no, _ := strconv.Atoi(task[len(jobOf(task))+1:])
+	return no
+}
+
 func jobOf(task string) string {
 	for i := len(task) - 1; i >= 0; i-- {
 		if task[i] == '/' {
