A machine that cannot report is silent, also while it answers commands

Cause: every newer view counted as a report, so what a direct command was answered with kept a machine heard that could open no connection to any controller. It was given work until its lease ended, lost it, and was given more in its next session. A view now tells when its host got the newest report (Reported); only that counts as heard, for placement and for the leader, and as of when it came to the host, however late the view is.

And: a refusal of the cloud is forgotten once machines of the same kind are deleted. Where all machines had been given up, nothing was rented for up to 40 s.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -68,7 +68,6 @@
 	flushing   bool
 	touching   bool
 	closeTo    loop.Micros
-	heard      loop.Micros
 	sent       loop.Micros // when the view was last published
 	dirty      bool
 	told       *View // as last published: what deltas are told against
@@ -214,7 +213,7 @@
 // nothing meanwhile. It was certainly made after the token that it shows was given
 // out, and the body of a direct answer after its command was sent: that is madeAfter.
 func (a *Agent) take(m *machine, r wire.Report, beat bool, madeAfter loop.Micros) {
-	now, wall := a.r.Now(), a.r.Wall()
+	wall := a.r.Wall()
 	v := &m.view
 	if v.Session != 0 && r.Session > v.Session {
 		// The worker's lease ran out: all its tasks are killed and forgotten,
@@ -240,7 +239,9 @@
 	}
 	v.Name, v.Addr, v.Type, v.Zone, v.Spot, v.Host, v.Life = r.Machine, r.Addr, r.Type, r.Zone, r.Spot, a.h.Label, a.h.Life
 	v.Seq = r.Seq
-	m.heard = now
+	if beat {
+		v.Reported = wall
+	}
 	if r.Token == m.token {
 		v.At = max(v.At, madeAfter)
 	}
--- a/internal/agent/delta.go
+++ b/internal/agent/delta.go
@@ -125,6 +125,7 @@
 	New      []Placed    `cbor:"12,keyasint,omitempty"` // places in the list after
 	Pending  []Task      `cbor:"13,keyasint,omitempty"`
 	Life     loop.Micros `cbor:"14,keyasint,omitempty"`
+	Reported loop.Micros `cbor:"15,keyasint,omitempty"`
 }
 
 // deltaTo tells v by how it differs from base; ok is false where only a full view will do.
@@ -134,7 +135,7 @@
 	}
 	c := v.Since(base)
 	d = &Delta{Name: v.Name, Session: v.Session, BaseSeq: base.Seq, BaseRev: base.Rev, Seq: v.Seq, Rev: v.Rev, Settled: v.Settled,
-		At: v.At, NoticeAt: v.NoticeAt, Closed: v.Closed, Gone: c.Gone, Pending: v.Pending, Life: v.Life}
+		At: v.At, NoticeAt: v.NoticeAt, Closed: v.Closed, Gone: c.Gone, Pending: v.Pending, Life: v.Life, Reported: v.Reported}
 	for k, i := range c.From {
 		if i < 0 {
 			d.New = append(d.New, Placed{At: k, Task: v.Tasks[k]})
@@ -155,6 +156,7 @@
 	}
 	v := *base
 	v.Seq, v.Rev, v.Settled, v.At, v.NoticeAt, v.Closed, v.Pending = d.Seq, d.Rev, d.Settled, d.At, d.NoticeAt, d.Closed, d.Pending
+	v.Reported = d.Reported
 	v.jobs, v.resolved = nil, false
 	if len(d.Gone)+len(d.New) == 0 {
 		return &v
--- a/internal/agent/view.go
+++ b/internal/agent/view.go
@@ -42,12 +42,24 @@
 	Tasks    []Task      `cbor:"14,keyasint,omitempty"`
 	Pending  []Task      `cbor:"15,keyasint,omitempty"` // starts that may still be carried out
 	Life     loop.Micros `cbor:"16,keyasint,omitempty"` // which life of its host's process tells this
+	// Reported is the time of day at which the host got the newest report. Only an answered report
+	// renews the machine's lease: what answers commands may be reached, and not be able to report.
+	Reported loop.Micros `cbor:"17,keyasint,omitempty"`
 
 	jobs     []*job.Job // of Tasks, looked up once; a published view never changes
 	used     Room       // what its tasks and pending starts take
 	resolved bool       // every job was known here
 }
 
+// Silence is for how long at least the machine has not reported, by a time of day and twice the
+// bound on clocks. Hosts before 0.8.0 do not tell.
+func (v *View) Silence(wall, clockTo loop.Micros) loop.Micros {
+	if v.Reported == 0 {
+		return 0
+	}
+	return max(wall-v.Reported-clockTo, 0)
+}
+
 // resolve looks the jobs of a view's tasks up. It is asked again while one of them
 // is not known here yet, and costs nothing once all are.
 func (v *View) resolve(find func(id string) *job.Job) bool {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -94,8 +94,8 @@
 	return f.free
 }
 
-// View takes in a machine's newer view; quiet: nothing on it has changed.
-func (f *Fleet) View(v *agent.View, now loop.Micros, quiet bool) *Slot {
+// View takes in a machine's newer view, and when it was heard; quiet: nothing on it has changed.
+func (f *Fleet) View(v *agent.View, heard loop.Micros, quiet bool) *Slot {
 	sl := f.slots[v.Name]
 	if sl == nil {
 		sl = &Slot{Runs: health.NewRuns()}
@@ -104,7 +104,7 @@
 		f.sorted = false
 		f.priced = 0
 	}
-	sl.V, sl.Heard = v, now
+	sl.V, sl.Heard = v, max(sl.Heard, heard)
 	if !quiet {
 		f.Touch(sl)
 	}
--- a/internal/node/world_machine_test.go
+++ b/internal/node/world_machine_test.go
@@ -123,12 +123,16 @@
 		x.at = (x.at + 1) % len(w.labels)
 		again(loop.Second)
 	}
+	if x.mute {
+		next()
+		return
+	}
 	gen := s.gen
 	deliver := func() {
 		s.enter(gen, func() {
 			s.n.agent.Beat(r, func(a agent.Answer) {
 				w.at(w.between(300, 2000), func() {
-					if answered || x.gone || x.deaf || w.toWorker(label, x) != open {
+					if answered || x.gone || x.deaf || x.mute || w.toWorker(label, x) != open {
 						return
 					}
 					answered = true
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -145,6 +145,7 @@
 	hanging bool
 	gone    bool
 	deaf    bool // its reports arrive; answers and commands do not reach it
+	mute    bool // it can open no connection to any node; commands reach it, and are answered
 }
 
 type simJob struct {
--- a/internal/rental/deletion.go
+++ b/internal/rental/deletion.go
@@ -50,6 +50,12 @@
 		t.seq++
 		ch := wire.Change{Put: fmt.Sprintf("%s%d-%d", GoneKeys, t.claim.Epoch, t.seq), Value: GoneRecord{names, t.r.Wall()}}
 		for _, name := range names {
+			// What it took of the cloud is there again: a refusal from before says nothing of now.
+			if m := t.machines[name]; m != nil {
+				if b := t.offers[offer{m.typ, m.zone, m.spot}]; b != nil {
+					b.until = 0
+				}
+			}
 			t.gone(name)
 		}
 		t.record(ch, 0)
--- a/internal/rental/machine.go
+++ b/internal/rental/machine.go
@@ -95,7 +95,8 @@
 	t.setState(m, Deleting, why)
 }
 
-// View takes in that a machine was heard.
+// View takes in that a machine was heard, as far as it reported: to a new leader the first sight
+// of one is as good as a report, since it was not there to get any.
 func (t *Rental) View(v *agent.View) {
 	if !t.leads {
 		return
@@ -104,8 +105,10 @@
 	if m == nil {
 		return
 	}
-	if m.told = t.r.Now(); v.Settled || m.heard == 0 {
-		m.heard = m.told
+	at := max(t.r.Now()-v.Silence(t.r.Wall(), loop.Micros(t.cfg.Cluster.ClockOffMS*2000)), t.started)
+	m.told = max(m.told, at)
+	if v.Settled || m.heard == 0 {
+		m.heard = max(m.heard, at)
 	}
 	if m.state == Booting {
 		if typ, ok := t.byName[m.typ]; ok && typ.BootS > 0 && m.rented {
--- a/internal/rental/rental_test.go
+++ b/internal/rental/rental_test.go
@@ -287,3 +287,36 @@
 		}
 	}
 }
+
+// What a deletion gives back can be rented at once. With the refusals from before, a deployment
+// whose machines had all been given up rented nothing for 40 s.
+func TestDeletionsEndRefusals(t *testing.T) {
+	g := newRig(t, 0)
+	delete(g.cloud.Left, "y")
+	g.runs = []agent.Task{{Task: "job-1/0", Attempt: 1, State: wire.TaskRunning}}
+	g.Run(3 * loop.Second)
+	var got wire.Names
+	g.cloud.Left["x"] = 1
+	if r := g.cloud.Do("POST", "/machines", wire.Marshal(wire.Rent{Request: "before", Type: "m8", Zone: "x", Count: 1}), 0); wire.Unmarshal(r.Body, &got) != nil || len(got.Machines) != 1 {
+		t.Fatal("nothing to rent")
+	}
+	name, gone := got.Machines[0], loop.Micros(0)
+	g.ups = nil
+	for k := range 1000 {
+		if k < 600 {
+			g.hear(name, "x") // for 60 s; until then there is nothing to rent beside it
+		}
+		g.t.Tally("b", peer.Tally{Wall: g.Now(), Wants: []peer.Want{{CPUs: 8, MemoryGB: 1, AnyType: true, Count: 1}}})
+		g.Run(100 * loop.Millisecond)
+		if gone == 0 && len(g.deleted) > 0 {
+			gone = g.Now()
+		}
+		if len(g.ups) > 0 {
+			if took := g.Now() - gone; gone == 0 || took > 2*loop.Second {
+				t.Fatalf("rented %d us after the deletion at %d", took, gone)
+			}
+			return
+		}
+	}
+	t.Fatalf("nothing is rented; deleted at %d", gone)
+}
