--- /dev/null
+++ b/internal/node/further_hand_test.go
@@ -0,0 +1,86 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+
+	"cleatpick/internal/loop"
+)
+
+// Jobs are cancelled at the very moment at which the state service refuses the leader alone, and
+// a moment later it is out for all, for longer than cancel_s: all three in either order, a half
+// second apart at the most in most cases. Whatever was confirmed is gone in time, by all nodes
+// that hear each other at once, and none of them loses work for it.
+func TestCancelledAsTheLeaderIsRefused(t *testing.T) {
+	const ms, down = loop.Millisecond, 60 * loop.Second // cancel_s is 46
+	for _, cancel := range []loop.Micros{-300 * ms, -5 * ms, 0, 5 * ms, 300 * ms} {
+		for _, out := range []loop.Micros{-100 * ms, 0, 5 * ms, 1000 * ms, 2000 * ms} {
+			t.Run(fmt.Sprintf("cancelled %d ms, out %d ms after the refusal", cancel/ms, out/ms), func(t *testing.T) {
+				t.Parallel()
+				w := fullWorld(t, 3)
+				refusal := 400 * ms
+				w.at(refusal, func() { w.cutFor(14*loop.Second, refusing, w.owner("red")+">state") })
+				w.outage(refusal+out, down)
+				for _, j := range loop.Sorted(w.jobs) {
+					w.at(refusal+cancel, func() { w.withdraw(j) })
+				}
+				w.run(w.now + 12*loop.Second)
+				early, sure := w.cancelled(), out-cancel >= 300*ms
+				if n := w.onMachines(); n != 0 {
+					t.Errorf("%d tasks of cancelled jobs run on, although all nodes hear each other", n)
+				}
+				if sure && early < 4 {
+					t.Errorf("%d jobs are cancelled before the outage", early)
+				}
+				w.run(w.now + down + 25*loop.Second)
+				if w.whys["lease"] != 0 || w.whys["gone"] != 0 {
+					t.Errorf("all nodes hear each other, and tasks end by %v", w.whys)
+				}
+				if n := w.cancelled(); n != len(w.jobs) || len(w.active) != 0 {
+					t.Errorf("at the end %d jobs are cancelled, %d tasks run", n, len(w.active))
+				}
+			})
+		}
+	}
+}
+
+// A machine hangs with tasks that are cancelled before, as or after it does so; it goes on within
+// its lease, after it, or after cancel_s, with the answer to its last report and commands queued.
+// Hung for less than its lease it learns at its next report that the task is over, hung for more
+// it has ended it: lease_s after the last report that was answered, which is before cancel_s.
+func TestCancelledWhileItsMachineHangs(t *testing.T) {
+	const second = loop.Second
+	for _, times := range [][3]float64{{5, 26, 46}, {3, 17.5, 47.5}, {1, 10, 13}} {
+		lease, cancel := loop.Seconds(times[1]), loop.Seconds(times[2])
+		for _, when := range []loop.Micros{-2 * second, -3 * loop.Millisecond, 0, 3 * loop.Millisecond, 2 * second} {
+			for _, long := range []loop.Micros{lease - 2*second, lease + 3*second, cancel + 5*second} {
+				for _, more := range []string{"", "its host ends", "the state service is out"} {
+					if more != "" && when != 0 {
+						continue
+					}
+					t.Run(fmt.Sprintf("%v, cancelled %d ms after, hung for %d s %s", times, when/1000, long/second, more), func(t *testing.T) {
+						t.Parallel()
+						w := handWorldOf(t, 3, times[0], times[1], times[2])
+						w.copies = 0.2
+						half := w.present()
+						half = half[:len(half)/2]
+						w.at(2*second, func() { w.hang(half, long) })
+						for _, j := range loop.Sorted(w.jobs) {
+							w.at(2*second+when, func() { w.withdraw(j) })
+						}
+						switch more {
+						case "its host ends":
+							w.at(2*second+when, func() { w.backAtOnce(w.labels[:1], 1) })
+						case "the state service is out":
+							w.outage(2*second+when+20*loop.Millisecond, cancel)
+						}
+						w.run(w.now + 2*second + long + cancel + 30*second)
+						if n := w.cancelled(); n != len(w.jobs) || len(w.active) != 0 {
+							t.Errorf("%d jobs are cancelled, %d tasks run", n, len(w.active))
+						}
+					})
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/last_end_test.go
@@ -0,0 +1,106 @@
+package node
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+
+	"cleatpick/internal/job"
+	"cleatpick/internal/loop"
+	"cleatpick/internal/wire"
+)
+
+// A cancellation, a question or a repeated submission meets the end of a job's last task. What
+// the users do comes at each moment that there is: as the task ends, once its end, or the job's,
+// has been carried out and before the answer to that, and a little after each; at the owner, at
+// another node and at both. One of the two wins, all are told alike from then on, and who is
+// told that it is done is so within the protocol's time.
+func TestWhatMeetsTheLastEnd(t *testing.T) {
+	const ms = loop.Millisecond
+	type ask struct {
+		name string
+		do   func(w *world, label string, j *simJob)
+	}
+	ask1 := func(f func(n *Node, w *world, j *simJob)) func(w *world, label string, j *simJob) {
+		return func(w *world, label string, j *simJob) {
+			s := w.nodes[label]
+			s.enter(s.gen, func() { f(s.n, w, j) })
+		}
+	}
+	cancel := ask{"cancels", ask1(func(n *Node, w *world, j *simJob) { j.asked = true; n.book.Withdraw(j.id, w.answer(j)) })}
+	poll := ask{"polls", ask1(func(n *Node, w *world, j *simJob) { n.book.Poll(j.id, w.answer(j)) })}
+	repeat := ask{"repeats", ask1(func(n *Node, w *world, j *simJob) { n.book.Submit(j.id, j.spec, w.answer(j)) })}
+	wins, mu := map[string]int{}, sync.Mutex{}
+	t.Cleanup(func() {
+		if !t.Failed() && (wins["d"] < 50 || wins["w"] < 50) {
+			t.Errorf("the ends %v: the moments do not lie on both sides", wins)
+		}
+	})
+	for _, moment := range []string{"the task ends", "its end is recorded", "the job's end is stored"} {
+		for _, after := range []loop.Micros{0, ms, 4 * ms, 9 * ms, 30 * ms, 300 * ms, 700 * ms, 1500 * ms} {
+			t.Run(fmt.Sprint(moment, ", ", after/ms, " ms later"), func(t *testing.T) {
+				t.Parallel()
+				for at := range 3 { // which node: the owner, another, both
+					for _, asks := range [][]ask{{cancel}, {poll}, {repeat}, {cancel, poll}, {poll, cancel}, {repeat, cancel}, {cancel, cancel, repeat}} {
+						w := newWorldOf(t, 7, size{nodes: 3, zones: 2, each: 4}, nothing)
+						j := &simJob{id: "job-000001", run: 6 * loop.Second, spec: &job.Spec{Class: "k", Team: "red", Priority: job.Normal, Tasks: 2, CPUs: 1,
+							MemoryGB: 1, Image: "i", AnyType: true, Estimate: 6 * loop.Second}}
+						w.jobs[j.id] = j
+						w.at(10*loop.Second, func() { w.submit(j) })
+						w.at(0, w.live)
+						w.at(0, w.checkCancelled)
+						strike := func() {
+							w.at(after, func() {
+								owner := w.owner("red")
+								other := w.labels[(slices.Index(w.labels, owner)+1)%3]
+								third := w.labels[(slices.Index(w.labels, owner)+2)%3]
+								for k, a := range asks {
+									label := [][]string{{owner, owner}, {other, third}, {owner, other}}[at][k%2]
+									w.at(loop.Micros(k)*200, func() { a.do(w, label, j) })
+								}
+							})
+						}
+						w.onBegan = func(x *simWorker, _ string) { x.w.Faulty = false }
+						last := 0
+						w.onLeft = func(task, why string) {
+							if why == wire.WhyDone {
+								last++
+							}
+							if last != 2 {
+								return
+							}
+							s := w.nodes[w.owner("red")]
+							switch moment {
+							case "the task ends":
+								strike()
+							case "its end is recorded":
+								s.after("x/red", strike)
+							default:
+								s.after(job.Keys+j.id, strike)
+							}
+						}
+						w.run(3600*loop.Second + 35*loop.Second)
+						for range 3 { // all are asked, and told the same
+							for _, l := range w.labels {
+								poll.do(w, l, j)
+							}
+							w.run(w.now + 2*loop.Second)
+						}
+						name := moment + ", " + fmt.Sprint(after/ms, " ms later ", at)
+						for _, a := range asks {
+							name += " " + a.name
+						}
+						stored := w.stored(j.id)
+						if last != 2 || j.done == (j.withdrawn != 0) || j.done != (stored == job.Done) || len(w.active) != 0 || len(w.vain) != 0 {
+							t.Errorf("%s: %d tasks ended; told done %v, cancelled %v, stored %q, %d run, begun in vain %v", name, last, j.done, j.withdrawn != 0, stored, len(w.active), w.vain)
+						}
+						mu.Lock()
+						wins[string(stored)]++
+						mu.Unlock()
+					}
+				}
+			})
+		}
+	}
+}
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -70,6 +70,7 @@
 	cfg     config.Config
 	starts  int
 	onBegan func(x *simWorker, task string)
+	onLeft  func(task, why string)
 	zones   []string           // of the machines; nodes stand in them in turn
 	zoneCut map[string]cutMode // zones that are cut off from all others
 	cost    cost
@@ -80,11 +81,12 @@
 	seed     uint64
 	messages hash.Hash // of every message with its time; nil: none is kept
 	late     lateness
-	heldUp   float64     // the part of all direct commands that are carried out seconds later
-	redone   int         // tasks that began once more after they had completed
-	slowest  loop.Micros // the longest time from a job's last end until its user was told
-	shunned  string      // a node that no user reaches
-	calm     loop.Micros // when all troubles are over; 0: that is not judged
+	heldUp   float64       // the part of all direct commands that are carried out seconds later
+	redone   int           // tasks that began once more after they had completed
+	vain     []loop.Micros // for each task that began after its user had been told that its job is cancelled, how long after
+	slowest  loop.Micros   // the longest time from a job's last end until its user was told
+	shunned  string        // a node that no user reaches
+	calm     loop.Micros   // when all troubles are over; 0: that is not judged
 }
 
 // cost is what the nodes' own code takes, told from the world around it.
@@ -307,6 +309,9 @@
 	return f()
 }
 
+// nothing leaves the settings as they are.
+func nothing(*config.Config) {}
+
 func newWorld(t testing.TB, seed uint64) *world {
 	return newWorldWith(t, seed, func(*config.Config) {})
 }
