An owner knows when what it loaded was chosen; waiting beside free room is judged in the worlds

Cause: tasks loaded from an earlier owner's records had no time of choice. A failure of one of them that was seen after the change counted as having taken as long as the node was up, no other task of its job ever ran for longer than that, and so the job, doubted, had one task under way at a time beside any room (job 9 of the test's world for 90 s and more). The time now comes from the record: its expiry less the life of a start.

New in the referee: once troubles are over, no job waits for 90 s while one machine has room for it all the time and its team is under its limit, by what is on the machines.

--- a/internal/node/world_referee_test.go
+++ b/internal/node/world_referee_test.go
@@ -12,6 +12,7 @@
 	w.starts++
 	id, i, _ := agent.SplitTask(task)
 	j := w.jobs[id]
+	j.starts++
 	if on, ok := w.active[task]; ok {
 		w.fail("ran_twice: %s starts on %s while it is on %s", task, x.w.Name, on)
 	}
@@ -171,6 +172,7 @@
 	w.at(0, w.checkCancelled)
 	w.at(0, w.checkBeliefs)
 	w.at(0, w.checkKnown)
+	w.at(0, w.checkWaiting)
 	w.calm = 3600*loop.Second + calm
 }
 
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -169,6 +169,8 @@
 	heard     loop.Micros // when its user was last told of it
 	began     loop.Micros // when its first task did
 	terms     *job.Terms
+	starts    int     // of its tasks
+	beside    *beside // the room that it waits beside; nil: none
 }
 
 // note puts a message into the world's record.
--- a/internal/placer/load.go
+++ b/internal/placer/load.go
@@ -135,6 +135,9 @@
 		case storedPlaced:
 			p.zoneMemo[b.m.Name] = b.m.Zone
 			x.machine, x.session, x.expiry = b.m.Name, b.e.Session, b.e.Expiry
+			// By its record: taken for chosen at the beginning of time, a failure that is seen
+			// now would have taken as long as that, and no task would ever outlive it.
+			x.chosen = p.r.Now() - max(p.r.Wall()+loop.Seconds(p.cfg.Operator.StartLifeS)-x.expiry, 0)
 			p.setTask(r.t, r.i, Placed)
 		case storedDone:
 			p.setTask(r.t, r.i, Completed)
