An accepted job is told of whatever its repeated submission looks like; what can never run is refused

A service or gang of two tasks or more that may not be half in one zone, while one zone alone is allowed or has a type that fits, or with oneZone beside scatter, is 422 (TestRunnable). Arrays with the same wishes take turns and are accepted: the rule counts the tasks on machines at a moment. An image larger than a cache is not judged: the protocol does not say that it cannot be fetched.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -234,16 +234,30 @@
 
 func (f *Front) submit(ctx *fasthttp.RequestCtx) {
 	id, spec, ok := job.Parse(ctx.PostBody())
-	if !ok {
+	if id == "" {
 		write(ctx, 400, wire.Error{Error: "malformed submission"})
 		return
 	}
+	// A job that was accepted is never refused, whatever is asked for now, also where this node
+	// has not read of it yet.
+	unless := func(done func(verdict), no verdict) {
+		f.n.Book.Poll(id, func(a job.Answer) {
+			if a.Code == 404 {
+				done(no)
+				return
+			}
+			f.settle(done)(a)
+		})
+	}
 	f.reply(ctx, ask(f, func(done func(verdict)) {
 		if !f.n.Ready() {
 			done(verdict{status: 503, why: "not ready"})
 			return
 		}
-		// A job that is known already is never refused, whatever it asks for.
+		if !ok {
+			unless(done, verdict{status: 400, why: "malformed submission"})
+			return
+		}
 		if f.n.Book.Get(id) == nil {
 			types := f.n.Types()
 			if len(types) == 0 {
@@ -256,13 +270,7 @@
 				return
 			}
 			if !job.Runnable(spec, f.cfg, types) {
-				f.n.Book.Poll(id, func(a job.Answer) {
-					if a.Code == 404 {
-						done(verdict{status: 422, why: "can never run"})
-						return
-					}
-					f.settle(done)(a)
-				})
+				unless(done, verdict{status: 422, why: "can never run"})
 				return
 			}
 		}
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -49,8 +49,20 @@
 		"oneZone": {"absent", "yes"}, "scatter": {"absent", 1}, "loaners": {"absent", nil},
 		"expectS": {"absent", -1.0}, "timeoutS": {"absent", -1.0}, "huddleS": {"absent", math.NaN()}, "whistleS": {-1.0, "soon"},
 	}
+	for key := range good() {
+		if key == "later" || key == "builds" || key == "field" || key == "whistleS" {
+			continue
+		}
+		bad[key] = append(bad[key], nil, "absent", []any{}, map[string]any{})
+	}
+	for _, key := range []string{"cpus", "cards", "ramGb", "sizeGb", "expectS", "timeoutS", "huddleS", "whistleS"} {
+		bad[key] = append(bad[key], -0.001, 1.1e9, math.NaN(), math.Inf(1), math.Inf(-1), "1", true)
+	}
 	for key, vs := range bad {
 		for _, v := range vs {
+			if id, _, _ := Parse(change(key, v)); (id != "") != (key != "nameId") {
+				t.Errorf("%s = %v: the id is read as %q", key, v, id)
+			}
 			if _, _, ok := Parse(change(key, v)); ok {
 				t.Errorf("%s = %v is taken", key, v)
 			}
@@ -66,7 +78,7 @@
 func TestRunnable(t *testing.T) {
 	c := &config.Config{}
 	c.Cluster.Teams = []config.Team{{Name: "red", CPUs: 8, CPUsMax: 32}}
-	types := []wire.MachineType{{Name: "g8", CPUs: 16, MemoryGB: 64, Zones: []string{"x"}}}
+	types := []wire.MachineType{{Name: "g8", CPUs: 16, MemoryGB: 64, Zones: []string{"x"}}, {Name: "s4", CPUs: 4, MemoryGB: 8, Zones: []string{"x", "y"}}}
 	base := Spec{Team: "red", Tasks: 100, CPUs: 16, MemoryGB: 64, AnyType: true}
 	for i, x := range []struct {
 		change func(*Spec)
@@ -77,12 +89,22 @@
 		{func(s *Spec) { s.CPUs = 17 }, false},
 		{func(s *Spec) { s.MemoryGB = 65 }, false},
 		{func(s *Spec) { s.GPUs = 1 }, false},
-		{func(s *Spec) { s.Zone = "y" }, false},
+		{func(s *Spec) { s.Zone = "y" }, false}, // there are only small ones
 		{func(s *Spec) { s.Zone = "x" }, true},
 		{func(s *Spec) { s.AnyType, s.Types = false, []string{"h1"} }, false},
 		{func(s *Spec) { s.AnyType, s.Types = false, nil }, false},
 		{func(s *Spec) { s.Service, s.Tasks = true, 2 }, true},
 		{func(s *Spec) { s.Service, s.Tasks = true, 3 }, false},
+		// All at once, and never more than half in one zone, of which there is one that fits.
+		{func(s *Spec) { s.Service, s.Tasks, s.Spread = true, 2, true }, false},
+		{func(s *Spec) { s.Gang, s.Tasks, s.Spread = true, 2, true }, false},
+		{func(s *Spec) { s.Service, s.Tasks, s.Spread = true, 1, true }, true},
+		{func(s *Spec) { s.Spread = true }, true}, // an array takes turns
+		{func(s *Spec) { s.Service, s.Tasks, s.Spread, s.CPUs, s.MemoryGB = true, 2, true, 4, 8 }, true},
+		{func(s *Spec) { s.Service, s.Tasks, s.Spread, s.CPUs, s.MemoryGB, s.Zone = true, 2, true, 4, 8, "y" }, false},
+		{func(s *Spec) { s.Service, s.Tasks, s.Spread, s.CPUs, s.MemoryGB, s.OneZone = true, 2, true, 4, 8, true }, false},
+		{func(s *Spec) { s.Service, s.Tasks, s.OneZone = true, 2, true }, true},
+		{func(s *Spec) { s.ImageGB = 1e6 }, true},
 	} {
 		s := base
 		x.change(&s)
--- a/internal/job/validate.go
+++ b/internal/job/validate.go
@@ -27,32 +27,44 @@
 	return true
 }
 
-// Parse reads a submission; ok is false when it is malformed.
+// Parse reads a submission; ok is false when it is malformed. The id is told all the same where
+// there is one: who repeats a job that was accepted is told of it, whatever else came.
 func Parse(body []byte) (id string, s *Spec, ok bool) {
-	var w wire.Work
-	if !wire.IsMap(body) || wire.Unmarshal(body, &w) != nil {
+	var named struct {
+		ID *string `cbor:"nameId"`
+	}
+	if !wire.IsMap(body) || wire.Unmarshal(body, &named) != nil || named.ID == nil || !ValidID(*named.ID) {
 		return "", nil, false
 	}
+	s, ok = parse(body)
+	return *named.ID, s, ok
+}
+
+func parse(body []byte) (s *Spec, ok bool) {
+	var w wire.Work
+	if wire.Unmarshal(body, &w) != nil {
+		return nil, false
+	}
 	name := func(p *string) bool { return p != nil && *p != "" && len(*p) <= 100 }
 	num := func(p *float64) bool { return p != nil && *p >= 0 && *p <= 1e9 && !math.IsNaN(*p) }
 	optional := func(p *float64) bool { return p == nil || num(p) }
-	if w.ID == nil || !ValidID(*w.ID) || !name(w.Class) || !name(w.Team) || w.Kind == nil || w.Priority == nil ||
+	if !name(w.Class) || !name(w.Team) || w.Kind == nil || w.Priority == nil ||
 		w.Tasks == nil || *w.Tasks < 1 || *w.Tasks > maxTasks || !num(w.CPUs) || !num(w.MemoryGB) || !num(w.GPUs) ||
 		!name(w.Image) || !num(w.ImageGB) || !num(w.EstimateS) || !num(w.CheckpntS) || !num(w.SaveS) ||
 		!optional(w.DeadlineS) || w.OneZone == nil || w.Spread == nil || w.Spot == nil || len(w.Types) > 200 {
-		return "", nil, false
+		return nil, false
 	}
 	p, known := priorities[*w.Priority]
 	if !known || (*w.Kind != wire.KindArray && *w.Kind != wire.KindService && *w.Kind != wire.KindGang) {
-		return "", nil, false
+		return nil, false
 	}
 	for _, t := range w.Types {
 		if t == "" || len(t) > 100 {
-			return "", nil, false
+			return nil, false
 		}
 	}
 	if w.Zone != nil && (*w.Zone == "" || len(*w.Zone) > 100) {
-		return "", nil, false
+		return nil, false
 	}
 	opt := func(p *float64) float64 {
 		if p == nil {
@@ -68,11 +80,14 @@
 	if w.Zone != nil {
 		s.Zone = *w.Zone
 	}
-	return *w.ID, s, true
+	return s, true
 }
 
 // Runnable tells whether the job could ever run: its team is known, a task fits
-// an allowed machine type, and the team's limit leaves room for it.
+// an allowed machine type in an allowed zone, the team's limit leaves room for it, and where all
+// tasks run at once, so do its rules about zones. An array may always run in turns: `scatter` counts
+// the tasks that are on machines at a moment. What cannot run now, for lack of machines, can later;
+// and an image larger than a type's cache may still be fetched, for all that the protocol says.
 func Runnable(s *Spec, c *config.Config, types []wire.MachineType) bool {
 	team, ok := c.TeamNamed(s.Team)
 	if !ok {
@@ -85,18 +100,22 @@
 	if q := c.Quota(team); !q.Allows(s.CPUs*n, s.GPUs*n) {
 		return false
 	}
+	zones := map[string]bool{}
 	for _, t := range types {
 		if !s.AllowsType(t.Name) || s.CPUs > t.CPUs || s.GPUs > t.GPUs || s.MemoryGB > t.MemoryGB {
 			continue
 		}
-		if s.Zone == "" {
-			return true
+		if s.Zone == "" && len(t.Zones) == 0 {
+			zones[""] = true // the catalog does not say where
 		}
 		for _, z := range t.Zones {
-			if z == s.Zone {
-				return true
+			if s.Zone == "" || z == s.Zone {
+				zones[z] = true
 			}
 		}
 	}
-	return false
+	if (s.Service || s.Gang) && s.Spread && s.Tasks > 1 && !zones[""] {
+		return len(zones) > 1 && !s.OneZone // two tasks or more must not be in one zone alone
+	}
+	return len(zones) > 0
 }
