--- /dev/null
+++ b/internal/node/bound_test.go
@@ -0,0 +1,59 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+
+	"cleatpick/internal/config"
+	"cleatpick/internal/job"
+	"cleatpick/internal/loop"
+)
+
+// Jobs that are bound to zones by their own tasks miss room there while there is more to rent in
+// each zone than they ask for. Machines are rented where these tasks may run: rented wherever it
+// was cheapest they came up in the wrong zone, again and again, and the job waited.
+func TestRentedWhereBoundTasksMayRun(t *testing.T) {
+	const second = loop.Second
+	for _, c := range []struct {
+		name  string
+		spec  job.Spec
+		zones int
+	}{
+		{"oneZone", job.Spec{OneZone: true, Tasks: 20}, 2},
+		{"oneZone of three", job.Spec{OneZone: true, Tasks: 20}, 3},
+		{"scatter", job.Spec{Spread: true, Tasks: 20}, 2},
+		{"scatter over three", job.Spec{Spread: true, Tasks: 20}, 3},
+	} {
+		for _, bound := range []string{"x", "y"} {
+			t.Run(c.name+", bound to "+bound, func(t *testing.T) {
+				t.Parallel()
+				w := newWorldOf(t, 29, size{nodes: 3, zones: c.zones, each: 30}, func(cfg *config.Config) {
+					cfg.Cluster.Teams = []config.Team{{Name: "red"}, {Name: "blue"}}
+				})
+				w.onBegan = func(x *simWorker, _ string) { x.w.Faulty = false }
+				enter := func(id int, s job.Spec, run loop.Micros) *simJob {
+					s.Class, s.Team, s.Priority, s.MemoryGB, s.Image, s.AnyType, s.Estimate = "k", "red", job.Normal, 1, "i", true, run
+					j := &simJob{id: fmt.Sprintf("job-%06d", id), run: run, spec: &s}
+					w.jobs[j.id] = j
+					w.submit(j)
+					w.poll(j)
+					return j
+				}
+				var j *simJob
+				// One machine there, with room for two tasks of the job or three: they bind the rest.
+				w.at(second, func() { enter(1, job.Spec{Tasks: 1, CPUs: 2, Zone: bound}, 200*second) })
+				w.at(20*second, func() { s := c.spec; s.CPUs = 2; j = enter(2, s, 150*second) })
+				w.judged(30 * second)
+				w.run(3600*second + 80*second)
+				if j.starts < 20 {
+					t.Errorf("%d of 20 tasks have begun a minute after the submission, on %d machines", j.starts, len(w.present()))
+				}
+				if n := len(w.workers); n > 12 {
+					t.Errorf("%d machines were rented for 42 CPUs", n)
+				}
+				w.run(3600*second + 500*second)
+				w.settled(20)
+			})
+		}
+	}
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -48,6 +48,11 @@
 	Priority int      `cbor:"8,keyasint"`
 	Count    int      `cbor:"9,keyasint"`
 	Run      int64    `cbor:"10,keyasint"` // run time expected of one task
+	// Together: all tasks must be in one zone. Half is how many may be in each, 0: any number. In is
+	// how many may be on machines of each already; told only where one of these counts.
+	Together bool           `cbor:"11,keyasint,omitempty"`
+	Half     int            `cbor:"12,keyasint,omitempty"`
+	In       map[string]int `cbor:"13,keyasint,omitempty"`
 }
 
 // Tally is an owner's whole list of missed requests; the newest replaces the last.
--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"cleatpick/internal/agent"
@@ -276,8 +277,15 @@
 
 func (p *Placer) want(t *table, n int) peer.Want {
 	s := t.j.Spec
-	return peer.Want{CPUs: s.CPUs, GPUs: s.GPUs, MemoryGB: s.MemoryGB, Types: s.Types, AnyType: s.AnyType,
-		Zone: s.Zone, Spot: s.Spot, Priority: int(s.Priority), Count: n, Run: s.Estimate}
+	w := peer.Want{CPUs: s.CPUs, GPUs: s.GPUs, MemoryGB: s.MemoryGB, Types: s.Types, AnyType: s.AnyType,
+		Zone: s.Zone, Spot: s.Spot, Priority: int(s.Priority), Count: n, Run: s.Estimate, Together: s.OneZone}
+	if s.Spread {
+		w.Half = (t.j.Tasks + 1) / 2
+	}
+	if s.OneZone || s.Spread {
+		w.In = maps.Clone(t.zones)
+	}
+	return w
 }
 
 // gangFits tells whether all waiting tasks of a gang find room at once, while none
--- /dev/null
+++ b/internal/rental/bounds.go
@@ -0,0 +1,47 @@
+package rental
+
+import (
+	"maps"
+
+	"cleatpick/internal/peer"
+)
+
+// bounds is what a want allows of each zone, as placement will judge it: rented anywhere, machines
+// for a job that is bound to a zone came up in another, again and again.
+type bounds struct {
+	together bool
+	half     int
+	in       map[string]int // tasks that are there or will be, by zone
+}
+
+func boundsOf(w *peer.Want) *bounds {
+	b := &bounds{together: w.Together, half: w.Half}
+	if b.together || b.half > 0 {
+		if b.in = maps.Clone(w.In); b.in == nil {
+			b.in = map[string]int{}
+		}
+	}
+	return b
+}
+
+// most is how many of so many tasks may go to a zone.
+func (b *bounds) most(zone string, left int) int {
+	if b.together {
+		for z, n := range b.in {
+			if n > 0 && z != zone {
+				return 0
+			}
+		}
+	}
+	if b.half > 0 {
+		left = min(left, max(b.half-b.in[zone], 0))
+	}
+	return left
+}
+
+// took counts tasks that will go to a zone.
+func (b *bounds) took(zone string, n int) {
+	if b.in != nil {
+		b.in[zone] += n
+	}
+}
--- a/internal/rental/order.go
+++ b/internal/rental/order.go
@@ -142,26 +142,30 @@
 	need := map[offer]int{}
 	for _, w := range t.wants() {
 		s := specOf(&w)
-		left := w.Count
+		left, b := w.Count, boundsOf(&w)
+		take := func(c *coming) int {
+			got := c.take(s, b.most(c.offer.zone, left))
+			b.took(c.offer.zone, got)
+			left -= got
+			return got
+		}
 		for _, c := range supply {
 			if left == 0 {
 				break
 			}
-			left -= c.take(s, left)
+			take(c)
 		}
 		for left > 0 {
-			o, per, ok := t.cheapest(s, left, now, need)
+			o, per, ok := t.cheapest(s, left, now, need, b)
 			if !ok {
 				break
 			}
 			need[o]++
 			x := t.byName[o.typ]
 			c := &coming{o, roomOf(x)}
-			got := c.take(s, left)
-			if got == 0 || per == 0 {
+			if got := take(c); got == 0 || per == 0 {
 				break
 			}
-			left -= got
 			supply = append(supply, c)
 		}
 	}
@@ -179,8 +183,8 @@
 }
 
 // cheapest chooses what to rent for tasks of this shape: the lowest price for each
-// task served, at the current prices, leaving out what was refused lately.
-func (t *Rental) cheapest(s *job.Spec, left int, now loop.Micros, need map[offer]int) (offer, int, bool) {
+// task served, at the current prices, leaving out what was refused lately, and where none may go.
+func (t *Rental) cheapest(s *job.Spec, left int, now loop.Micros, need map[offer]int, b *bounds) (offer, int, bool) {
 	var best offer
 	bestCost, bestPer := math.Inf(1), 0
 	for _, x := range t.types {
@@ -198,12 +202,16 @@
 			continue
 		}
 		for _, z := range x.Zones {
+			most := b.most(z, left)
+			if most == 0 {
+				continue
+			}
 			for _, spot := range []bool{true, false} {
 				o := offer{x.Name, z, spot}
 				if !s.AllowsPlace(x.Name, z, spot) {
 					continue
 				}
-				if b := t.offers[o]; (b != nil && now < b.until) || t.cordoned(o) {
+				if rest := t.offers[o]; (rest != nil && now < rest.until) || t.cordoned(o) {
 					continue
 				}
 				price := x.Price
@@ -211,7 +219,7 @@
 					price = x.SpotPrice
 				}
 				// What boots sooner serves sooner; spread over zones evenly.
-				cost := price/float64(min(per, max(left, 1)))*(1+x.BootS/600) + 1e-6*float64(need[o])
+				cost := price/float64(min(per, most))*(1+x.BootS/600) + 1e-6*float64(need[o])
 				if cost < bestCost {
 					best, bestCost, bestPer = o, cost, per
 				}
