--- a/internal/node/meetings_test.go
+++ b/internal/node/meetings_test.go
@@ -4,10 +4,12 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 
 	"cleatpick/internal/config"
 	"cleatpick/internal/loop"
+	"cleatpick/internal/wire"
 )
 
 // Most rules that users have seen broken broke when two troubles met. Each of these is one, or
@@ -83,8 +85,51 @@
 		}
 		w.cancelSome(0.2, 8*loop.Second)
 	}},
+	// What the users' page names since.
+	{"machines that cannot report", func(w *world) {
+		names := w.some(0.1 + 0.5*w.rng.Float64())
+		if w.rng.IntN(3) == 0 {
+			names = w.inZone(w.zones[w.rng.IntN(len(w.zones))])
+		}
+		w.mute(names, w.between(3*loop.Second, 45*loop.Second))
+		w.cancelSome(0.2, 20*loop.Second)
+	}},
+	{"cancelled as the leader is refused", func(w *world) {
+		refusal, out := w.between(0, 400*loop.Millisecond), w.between(0, 2400*loop.Millisecond)
+		l := w.leader()
+		w.at(refusal, func() { w.cutFor(w.between(2*loop.Second, 15*loop.Second), refusing, l+">state") })
+		w.outage(out, w.between(30*loop.Second, 50*loop.Second))
+		w.cancelSome(0.8, 400*loop.Millisecond)
+	}},
+	{"cancelled on machines that hang", func(w *world) {
+		w.at(w.between(0, loop.Second), func() { w.hang(w.some(0.5*w.rng.Float64()), w.between(3*loop.Second, 45*loop.Second)) })
+		w.cancelSome(0.8, loop.Second)
+	}},
+	{"cancelled at the end", func(w *world) {
+		until := w.now + w.between(10*loop.Second, 40*loop.Second)
+		w.onLeft = func(task, why string) {
+			if j := w.jobs[task[:lastSlash(task)]]; why == wire.WhyDone && w.now < until && w.rng.IntN(2) == 0 {
+				w.at(w.between(0, 900*loop.Millisecond), func() { w.withdraw(j) })
+			}
+		}
+	}},
+	{"leaders change again and again", func(w *world) {
+		d := w.between(5*loop.Second, 12*loop.Second)
+		for k := range 4 + w.rng.IntN(7) {
+			w.at(loop.Micros(k)*d, func() { w.killFor(w.leader(), w.between(100*loop.Millisecond, 6*loop.Second)) })
+		}
+	}},
+	{"all away for longer than a lease", func(w *world) {
+		for _, l := range w.labels {
+			w.killFor(l, w.between(10*loop.Second, 35*loop.Second))
+		}
+	}},
+	{"a zone loses its machines", func(w *world) { w.die(w.inZone(w.zones[w.rng.IntN(len(w.zones))])) }},
 }
 
+// lastSlash is where the number of a task begins.
+func lastSlash(task string) int { return strings.LastIndexByte(task, '/') }
+
 // cancelSome lets users cancel a part of all jobs within a time.
 func (w *world) cancelSome(part float64, d loop.Micros) {
 	for _, j := range loop.Sorted(w.jobs) {
