--- a/internal/fleet/hold.go
+++ b/internal/fleet/hold.go
@@ -12,6 +12,9 @@
 	"cleatpick/internal/peer"
 )
 
+// small is the part of a machine up to which a task shares what is held.
+const small = 4
+
 // Hold keeps room for up to want tasks of a job on machines that have none now, and tells
 // where. It stops nothing: the room comes about as tasks there end, and meanwhile nobody
 // else's tasks take it. What is kept on a machine already is left of it, and small claims share one:
@@ -41,9 +44,14 @@
 			}
 		}
 	}
-	// Where others are kept already first, and then where most is free, since the rest comes soonest.
+	// What is small goes where most is kept already, what is large where nothing is: each waits for
+	// what is kept beside it. Then where most is free, since the rest comes soonest.
 	slices.SortStableFunc(fit, func(a, b place) int {
-		return cmp.Or(cmp.Compare(min(len(b.sl.Claims), 1), min(len(a.sl.Claims), 1)), cmp.Compare(b.sl.Room.CPUs, a.sl.Room.CPUs))
+		more := cmp.Compare(len(b.sl.Claims), len(a.sl.Claims))
+		if small*s.CPUs > a.sl.typ.CPUs || small*s.CPUs > b.sl.typ.CPUs {
+			more = -more
+		}
+		return cmp.Or(more, cmp.Compare(b.sl.Room.CPUs, a.sl.Room.CPUs))
 	})
 	for _, x := range fit {
 		sl, room := x.sl, x.left
--- a/internal/fleet/stop.go
+++ b/internal/fleet/stop.go
@@ -5,6 +5,7 @@
 	"container/heap"
 	"math"
 	"slices"
+	"strings"
 
 	"cleatpick/internal/agent"
 	"cleatpick/internal/gate"
@@ -63,6 +64,25 @@
 	}
 }
 
+// Spare drops claims of a job beyond so many: its tasks found room elsewhere.
+func (f *Fleet) Spare(id string, most int) {
+	if f.held[id] <= most {
+		return
+	}
+	var on []*Slot
+	for sl := range f.claimed {
+		on = append(on, sl)
+	}
+	slices.SortFunc(on, func(a, b *Slot) int { return strings.Compare(a.V.Name, b.V.Name) })
+	for _, sl := range on {
+		for i := len(sl.Claims) - 1; i >= 0 && f.held[id] > most; i-- {
+			if sl.Claims[i].Job == id {
+				f.dropClaim(sl, i)
+			}
+		}
+	}
+}
+
 // Release drops the claims of a job that is over.
 func (f *Fleet) Release(id string) {
 	if f.held[id] == 0 {
--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -272,6 +272,7 @@
 			break
 		}
 	}
+	p.fleet.Spare(t.j.ID, t.waiting())
 	return got
 }
 
