--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -64,7 +64,7 @@
 func (g *rig) beat(t *testing.T, seq, token uint64, tasks ...wire.ReportTask) wire.Commands {
 	t.Helper()
 	var c wire.Commands
-	g.a.Beat(wire.Report{Machine: "n-1", Addr: "x:1", Type: "m", Zone: "z", Session: 1, Seq: seq, Token: token, Tasks: tasks}, func(a Answer) {
+	g.a.Report(wire.Report{Machine: "n-1", Addr: "x:1", Type: "m", Zone: "z", Session: 1, Seq: seq, Token: token, Tasks: tasks}, func(a Answer) {
 		if a.Status != 200 {
 			t.Fatalf("report %d is answered %d", seq, a.Status)
 		}
@@ -198,7 +198,7 @@
 	}
 	status := 0
 	take := func(g *rig, r wire.Report) int {
-		g.a.Beat(r, func(a Answer) { status = a.Status })
+		g.a.Report(r, func(a Answer) { status = a.Status })
 		return status
 	}
 	// A host that knows the machine.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -161,7 +161,7 @@
 	if f.Crowded != nil && f.Crowded() {
 		ctx.SetConnectionClose()
 	}
-	a := ask(f, func(done func(agent.Answer)) { f.n.Agent.Beat(r, done) })
+	a := ask(f, func(done func(agent.Answer)) { f.n.Agent.Report(r, done) })
 	if a == nil {
 		later(ctx, 503, 1, "no answer")
 		return
--- a/internal/node/leaders_test.go
+++ b/internal/node/leaders_test.go
@@ -189,7 +189,7 @@
 					for k := range held {
 						r := held[k]
 						s := w.nodes[w.anyLabel()]
-						s.enter(s.gen, func() { s.n.agent.Beat(r, func(agent.Answer) {}) })
+						s.enter(s.gen, func() { s.n.agent.Report(r, func(agent.Answer) {}) })
 					}
 				}
 				hold()
--- a/internal/node/world_machine_test.go
+++ b/internal/node/world_machine_test.go
@@ -133,7 +133,7 @@
 	gen := s.gen
 	deliver := func() {
 		s.enter(gen, func() {
-			s.n.agent.Beat(r, func(a agent.Answer) {
+			s.n.agent.Report(r, func(a agent.Answer) {
 				w.at(w.between(300, 2000), func() {
 					if answered || x.gone || x.deaf || x.mute || w.toWorker(label, x) != open {
 						return
@@ -191,7 +191,7 @@
 	lease := loop.Seconds(w.cfg.Cluster.Workers.LeaseS)
 	w.at(w.between(loop.Second, [...]loop.Micros{5 * loop.Second, lease, 4 * lease}[w.rng.IntN(3)]), func() {
 		s := w.nodes[w.anyLabel()]
-		s.enter(s.gen, func() { s.n.agent.Beat(r, func(agent.Answer) {}) })
+		s.enter(s.gen, func() { s.n.agent.Report(r, func(agent.Answer) {}) })
 		w.copyLate(r)
 	})
 }
