--- a/internal/horizon/horizon.go
+++ b/internal/horizon/horizon.go
@@ -162,8 +162,8 @@
 // A node without peers knows all that it has confirmed itself, and its earlier lives.
 func (j *Judge) slowest() (at loop.Micros, who string) {
 	at = j.clock.Now()
-	for label, p := range loop.Sorted(j.peers) {
-		if p.echo < at {
+	for label, p := range j.peers { // for each report that is answered: in no order, a tie goes to the first by name
+		if p.echo < at || p.echo == at && who > label {
 			at, who = p.echo, label
 		}
 	}
