A pending start is looked at once more: its test; the worlds of the last end differ from case to case

Both written because wrong lines passed: a start sent after its job was cancelled here, and done stored without the version of the job's record. Each is caught now. No product source changes.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -257,3 +257,27 @@
 		t.Fatalf("the overtaken report is answered with %v", c.Commands)
 	}
 }
+
+// A start that was taken on is looked at once more by each command and each answer that could
+// carry it: its job may have been cancelled since, and its user told so.
+func TestPendingStartOfACancelledJob(t *testing.T) {
+	g := newRig()
+	token := g.beat(t, 1, 0).Token
+	g.beat(t, 2, token)
+	g.a.Start(Start{Machine: "n-1", Session: 1, Task: "job-1/0", Attempt: 1, Expiry: g.now + 6*loop.Second, From: "a"})
+	if !g.a.View("n-1").Holds("job-1/0", 1) && len(g.work) == 0 {
+		t.Fatal("the start was not taken on")
+	}
+	g.a.job("job-1/0").Phase = job.Withdrawn
+	g.resp = store.Response{Status: 200, Body: wire.Marshal(wire.Report{Machine: "n-1", Type: "m", Zone: "z", Session: 1, Seq: 3, Token: token})}
+	g.a.Check("n-1")
+	g.runWork()
+	for _, c := range g.sent {
+		if len(c.Commands) != 0 {
+			t.Errorf("the machine is sent %v", c.Commands)
+		}
+	}
+	if c := g.beat(t, 4, token); len(c.Commands) != 0 || len(g.sent) == 0 {
+		t.Errorf("the report is answered with %v, after %d commands", c.Commands, len(g.sent))
+	}
+}
--- a/internal/node/last_end_test.go
+++ b/internal/node/last_end_test.go
@@ -42,8 +42,8 @@
 			t.Run(fmt.Sprint(moment, ", ", after/ms, " ms later"), func(t *testing.T) {
 				t.Parallel()
 				for at := range 3 { // which node: the owner, another, both
-					for _, asks := range [][]ask{{cancel}, {poll}, {repeat}, {cancel, poll}, {poll, cancel}, {repeat, cancel}, {cancel, cancel, repeat}} {
-						w := newWorldOf(t, 7, size{nodes: 3, zones: 2, each: 4}, nothing)
+					for k, asks := range [][]ask{{cancel}, {poll}, {repeat}, {cancel, poll}, {poll, cancel}, {repeat, cancel}, {cancel, cancel, repeat}} {
+						w := newWorldOf(t, uint64(7+k+int(after/ms)), size{nodes: 3, zones: 2, each: 4}, nothing)
 						j := &simJob{id: "job-000001", run: 6 * loop.Second, spec: &job.Spec{Class: "k", Team: "red", Priority: job.Normal, Tasks: 2, CPUs: 1,
 							MemoryGB: 1, Image: "i", AnyType: true, Estimate: 6 * loop.Second}}
 						w.jobs[j.id] = j
