Read once more: a submission is decoded once, claims are dropped by one piece, a task's name is split by the one there is

A well-formed submission was decoded twice, for its id and whole; the id alone is now only read where the whole is not sound. Release was Spare with nothing left. The worlds cut a task's name by themselves beside agent.SplitTask.

--- a/internal/fleet/stop.go
+++ b/internal/fleet/stop.go
@@ -64,7 +64,7 @@
 	}
 }
 
-// Spare drops claims of a job beyond so many: its tasks found room elsewhere.
+// Spare drops claims of a job beyond so many: its tasks found room elsewhere, or it is over.
 func (f *Fleet) Spare(id string, most int) {
 	if f.held[id] <= most {
 		return
@@ -83,20 +83,6 @@
 	}
 }
 
-// Release drops the claims of a job that is over.
-func (f *Fleet) Release(id string) {
-	if f.held[id] == 0 {
-		return
-	}
-	for sl := range f.claimed {
-		for i := len(sl.Claims) - 1; i >= 0; i-- {
-			if sl.Claims[i].Job == id {
-				f.dropClaim(sl, i)
-			}
-		}
-	}
-}
-
 // tasksOf is how many tasks of a job the machine shows, on it or on their way there.
 func (sl *Slot) tasksOf(id string) (n int) {
 	for _, list := range [...][]agent.Task{sl.V.Tasks, sl.V.Pending} {
--- a/internal/job/validate.go
+++ b/internal/job/validate.go
@@ -30,21 +30,31 @@
 // Parse reads a submission; ok is false when it is malformed. The id is told all the same where
 // there is one: who repeats a job that was accepted is told of it, whatever else came.
 func Parse(body []byte) (id string, s *Spec, ok bool) {
-	var named struct {
-		ID *string `cbor:"nameId"`
+	if !wire.IsMap(body) {
+		return "", nil, false
+	}
+	var w wire.Work
+	whole := wire.Unmarshal(body, &w) == nil
+	if !whole { // its id may be sound all the same
+		var named struct {
+			ID *string `cbor:"nameId"`
+		}
+		if wire.Unmarshal(body, &named) != nil {
+			return "", nil, false
+		}
+		w.ID = named.ID
 	}
-	if !wire.IsMap(body) || wire.Unmarshal(body, &named) != nil || named.ID == nil || !ValidID(*named.ID) {
+	if w.ID == nil || !ValidID(*w.ID) {
 		return "", nil, false
 	}
-	s, ok = parse(body)
-	return *named.ID, s, ok
+	if whole {
+		s, ok = specOf(&w)
+	}
+	return *w.ID, s, ok
 }
 
-func parse(body []byte) (s *Spec, ok bool) {
-	var w wire.Work
-	if wire.Unmarshal(body, &w) != nil {
-		return nil, false
-	}
+// specOf takes a submission's fields; ok is false where one is missing or out of range.
+func specOf(w *wire.Work) (s *Spec, ok bool) {
 	name := func(p *string) bool { return p != nil && *p != "" && len(*p) <= 100 }
 	num := func(p *float64) bool { return p != nil && *p >= 0 && *p <= 1e9 && !math.IsNaN(*p) }
 	optional := func(p *float64) bool { return p == nil || num(p) }
--- a/internal/node/meetings_test.go
+++ b/internal/node/meetings_test.go
@@ -4,9 +4,9 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"testing"
 
+	"cleatpick/internal/agent"
 	"cleatpick/internal/config"
 	"cleatpick/internal/loop"
 	"cleatpick/internal/wire"
@@ -108,8 +108,8 @@
 	{"cancelled at the end", func(w *world) {
 		until := w.now + w.between(10*loop.Second, 40*loop.Second)
 		w.onLeft = func(task, why string) {
-			if j := w.jobs[task[:lastSlash(task)]]; why == wire.WhyDone && w.now < until && w.rng.IntN(2) == 0 {
-				w.at(w.between(0, 900*loop.Millisecond), func() { w.withdraw(j) })
+			if id, _, _ := agent.SplitTask(task); why == wire.WhyDone && w.now < until && w.rng.IntN(2) == 0 {
+				w.at(w.between(0, 900*loop.Millisecond), func() { w.withdraw(w.jobs[id]) })
 			}
 		}
 	}},
@@ -127,9 +127,6 @@
 	{"a zone loses its machines", func(w *world) { w.die(w.inZone(w.zones[w.rng.IntN(len(w.zones))])) }},
 }
 
-// lastSlash is where the number of a task begins.
-func lastSlash(task string) int { return strings.LastIndexByte(task, '/') }
-
 // cancelSome lets users cancel a part of all jobs within a time.
 func (w *world) cancelSome(part float64, d loop.Micros) {
 	for _, j := range loop.Sorted(w.jobs) {
