--- a/internal/gate/place.go
+++ b/internal/gate/place.go
@@ -113,17 +113,41 @@
 	if !s.AllowsPlace(p.V.Type, p.V.Zone, p.V.Spot) {
 		l |= LackPlace
 	}
-	if s.OneZone {
+	if n.elsewhere(p.V.Zone) {
+		l |= LackOneZone
+	}
+	if n.share(p.V.Zone, 1) == 0 {
+		l |= LackSpread
+	}
+	return l
+}
+
+// elsewhere tells whether the job's tasks must be in one zone and some are in another than this.
+func (n *Need) elsewhere(zone string) bool {
+	if n.Spec.OneZone {
 		for z, k := range n.Zones {
-			if k > 0 && z != p.V.Zone {
-				l |= LackOneZone
+			if k > 0 && z != zone {
+				return true
 			}
 		}
 	}
-	if s.Spread && n.Zones[p.V.Zone] >= (n.Tasks+1)/2 {
-		l |= LackSpread
+	return false
+}
+
+// share is how many of so many more tasks may be in a zone where no more than half may be.
+func (n *Need) share(zone string, more int) int {
+	if n.Spec.Spread {
+		return min(more, max((n.Tasks+1)/2-n.Zones[zone], 0))
 	}
-	return l
+	return more
+}
+
+// Most is how many of so many more tasks the job's rules about zones let go to a zone.
+func (n *Need) Most(zone string, more int) int {
+	if n.elsewhere(zone) {
+		return 0
+	}
+	return n.share(zone, more)
 }
 
 func short(room *agent.Room, s *job.Spec) (l Lack) {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -48,11 +48,12 @@
 	Priority int      `cbor:"8,keyasint"`
 	Count    int      `cbor:"9,keyasint"`
 	Run      int64    `cbor:"10,keyasint"` // run time expected of one task
-	// Together: all tasks must be in one zone. Half is how many may be in each, 0: any number. In is
-	// how many may be on machines of each already; told only where one of these counts.
-	Together bool     `cbor:"11,keyasint,omitempty"`
-	Half     int      `cbor:"12,keyasint,omitempty"`
-	In       []InZone `cbor:"13,keyasint,omitempty"`
+	// What binds the tasks to zones, as in the job's spec; and only where one of these counts, how many
+	// tasks the job has and how many may be on machines of each zone already.
+	OneZone bool     `cbor:"11,keyasint,omitempty"`
+	Spread  bool     `cbor:"12,keyasint,omitempty"`
+	Tasks   int      `cbor:"13,keyasint,omitempty"`
+	In      []InZone `cbor:"14,keyasint,omitempty"`
 }
 
 // InZone is how many tasks of a job may be on machines of a zone; by name, so that a frame is
--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -278,11 +278,9 @@
 func (p *Placer) want(t *table, n int) peer.Want {
 	s := t.j.Spec
 	w := peer.Want{CPUs: s.CPUs, GPUs: s.GPUs, MemoryGB: s.MemoryGB, Types: s.Types, AnyType: s.AnyType,
-		Zone: s.Zone, Spot: s.Spot, Priority: int(s.Priority), Count: n, Run: s.Estimate, Together: s.OneZone}
-	if s.Spread {
-		w.Half = (t.j.Tasks + 1) / 2
-	}
+		Zone: s.Zone, Spot: s.Spot, Priority: int(s.Priority), Count: n, Run: s.Estimate, OneZone: s.OneZone, Spread: s.Spread}
 	if s.OneZone || s.Spread {
+		w.Tasks = t.j.Tasks
 		for z, n := range loop.Sorted(t.zones) {
 			w.In = append(w.In, peer.InZone{Zone: z, Tasks: n})
 		}
--- a/internal/rental/order.go
+++ b/internal/rental/order.go
@@ -9,6 +9,7 @@
 	"strings"
 
 	"cleatpick/internal/agent"
+	"cleatpick/internal/gate"
 	"cleatpick/internal/job"
 	"cleatpick/internal/loop"
 	"cleatpick/internal/member"
@@ -31,7 +32,21 @@
 }
 
 func specOf(w *peer.Want) *job.Spec {
-	return &job.Spec{CPUs: w.CPUs, GPUs: w.GPUs, MemoryGB: w.MemoryGB, Types: w.Types, AnyType: w.AnyType, Zone: w.Zone, Spot: w.Spot}
+	return &job.Spec{CPUs: w.CPUs, GPUs: w.GPUs, MemoryGB: w.MemoryGB, Types: w.Types, AnyType: w.AnyType, Zone: w.Zone, Spot: w.Spot,
+		OneZone: w.OneZone, Spread: w.Spread}
+}
+
+// needOf is what placement will ask of machines for a want. Rented anywhere, machines for a job that
+// is bound to a zone came up in another, again and again.
+func needOf(w *peer.Want) *gate.Need {
+	n := &gate.Need{Spec: specOf(w), Tasks: w.Tasks}
+	if w.OneZone || w.Spread {
+		n.Zones = map[string]int{}
+		for _, x := range w.In {
+			n.Zones[x.Zone] += x.Tasks
+		}
+	}
+	return n
 }
 
 // roomOf is what an empty machine of the type has free.
@@ -141,11 +156,12 @@
 	supply := t.expected()
 	need := map[offer]int{}
 	for _, w := range t.wants() {
-		s := specOf(&w)
-		left, b := w.Count, boundsOf(&w)
+		left, n := w.Count, needOf(&w)
 		take := func(c *coming) int {
-			got := c.take(s, b.most(c.offer.zone, left))
-			b.took(c.offer.zone, got)
+			got := c.take(n.Spec, n.Most(c.offer.zone, left))
+			if n.Zones != nil {
+				n.Zones[c.offer.zone] += got
+			}
 			left -= got
 			return got
 		}
@@ -156,7 +172,7 @@
 			take(c)
 		}
 		for left > 0 {
-			o, per, ok := t.cheapest(s, left, now, need, b)
+			o, per, ok := t.cheapest(n, left, now, need)
 			if !ok {
 				break
 			}
@@ -184,7 +200,8 @@
 
 // cheapest chooses what to rent for tasks of this shape: the lowest price for each
 // task served, at the current prices, leaving out what was refused lately, and where none may go.
-func (t *Rental) cheapest(s *job.Spec, left int, now loop.Micros, need map[offer]int, b *bounds) (offer, int, bool) {
+func (t *Rental) cheapest(n *gate.Need, left int, now loop.Micros, need map[offer]int) (offer, int, bool) {
+	s := n.Spec
 	var best offer
 	bestCost, bestPer := math.Inf(1), 0
 	for _, x := range t.types {
@@ -202,7 +219,7 @@
 			continue
 		}
 		for _, z := range x.Zones {
-			most := b.most(z, left)
+			most := n.Most(z, left)
 			if most == 0 {
 				continue
 			}
