--- a/internal/node/leaders_test.go
+++ b/internal/node/leaders_test.go
@@ -55,8 +55,7 @@
 			}
 			for k := range 24 {
 				w.at(loop.Micros(k)*5*second, func() {
-					w.enter(&simJob{id: fmt.Sprintf("job-%06d", 100+k), run: 2 * second, spec: &job.Spec{Class: "short", Team: []string{"red", "blue"}[k%2],
-						Priority: job.High, Tasks: 3, CPUs: 1, MemoryGB: 1, Image: "i", AnyType: true, Estimate: 2 * second}})
+					w.enter(shortJob(k, []string{"red", "blue"}[k%2], 3, 2*second))
 					tally = max(tally, len(w.nodes[w.labels[0]].n.mirror.Under(rental.OrderKeys)))
 				})
 			}
@@ -195,8 +194,7 @@
 				hold()
 				for k := range 8 { // as tasks end, begin and move
 					w.at(loop.Micros(k)*700*loop.Millisecond, func() {
-						w.enter(&simJob{id: fmt.Sprintf("job-%06d", 100+k), run: 2 * second, spec: &job.Spec{Class: "short", Team: "red",
-							Priority: job.High, Tasks: 6, CPUs: 1, MemoryGB: 1, Image: "i", AnyType: true, Estimate: 2 * second}})
+						w.enter(shortJob(k, "red", 6, 2*second))
 					})
 				}
 				w.at(3*second, hold)
@@ -305,8 +303,7 @@
 						zone = w.zones[0]
 					}
 					for k := range 10 { // what ends inside
-						w.enter(&simJob{id: fmt.Sprintf("job-%06d", 100+k), run: 15 * second, spec: &job.Spec{Class: "short", Team: "blue",
-							Priority: job.High, Tasks: 3, CPUs: 1, MemoryGB: 1, Image: "i", AnyType: true, Estimate: 15 * second}})
+						w.enter(shortJob(k, "blue", 3, 15*second))
 					}
 					w.run(w.now + 8*second)
 					w.cutZone(zone, mode, d)
--- a/internal/node/meetings_hand_test.go
+++ b/internal/node/meetings_hand_test.go
@@ -107,6 +107,12 @@
 	}
 }
 
+// shortJob is an urgent job of short tasks; its number begins at 100.
+func shortJob(k int, team string, tasks int, run loop.Micros) *simJob {
+	return &simJob{id: fmt.Sprintf("job-%06d", 100+k), run: run, spec: &job.Spec{Class: "short", Team: team,
+		Priority: job.High, Tasks: tasks, CPUs: 1, MemoryGB: 1, Image: "i", AnyType: true, Estimate: run}}
+}
+
 // A leader ends while machines full of long tasks do not hear anybody, or stand still. Those that
 // are back within their lease lose nothing; the others' tasks run again, each once it is proven
 // off, and what waits for room begins.
@@ -130,8 +136,7 @@
 			began := w.now
 			w.at(2*loop.Second, func() {
 				for i := range 4 { // what waits beside them
-					w.enter(&simJob{id: fmt.Sprintf("job-%06d", 100+i), run: 5 * loop.Second, spec: &job.Spec{Class: "short", Team: []string{"red", "blue"}[i%2],
-						Priority: job.High, Tasks: 3, CPUs: 1, MemoryGB: 1, Image: "i", AnyType: true, Estimate: 5 * loop.Second}})
+					w.enter(shortJob(i, []string{"red", "blue"}[i%2], 3, 5*loop.Second))
 				}
 			})
 			w.run(w.now + 70*loop.Second)
