Read once more: where room is held, each machine has a rank of its own

The order compared two machines by a rule that hung on both, so that with machine types of different sizes it was no order: a task that is small for one and large for another could rank three machines in a circle. Where all machines are of one size, or a task is small or large for all, the choice is the same as before.

--- a/internal/fleet/hold.go
+++ b/internal/fleet/hold.go
@@ -46,12 +46,14 @@
 	}
 	// What is small goes where most is kept already, what is large where nothing is: each waits for
 	// what is kept beside it. Then where most is free, since the rest comes soonest.
-	slices.SortStableFunc(fit, func(a, b place) int {
-		more := cmp.Compare(len(b.sl.Claims), len(a.sl.Claims))
-		if small*s.CPUs > a.sl.typ.CPUs || small*s.CPUs > b.sl.typ.CPUs {
-			more = -more
+	rank := func(sl *Slot) int {
+		if small*s.CPUs > sl.typ.CPUs {
+			return len(sl.Claims)
 		}
-		return cmp.Or(more, cmp.Compare(b.sl.Room.CPUs, a.sl.Room.CPUs))
+		return -len(sl.Claims)
+	}
+	slices.SortStableFunc(fit, func(a, b place) int {
+		return cmp.Or(cmp.Compare(rank(a.sl), rank(b.sl)), cmp.Compare(b.sl.Room.CPUs, a.sl.Room.CPUs))
 	})
 	for _, x := range fit {
 		sl, room := x.sl, x.left
