Red: a repeated submission is answered from the past; polls are refused for good after one slow comparison

The first plays repeated submissions beside a cancellation that another controller stores: 'pending' is told after the state service holds the cancellation. The second lets one comparison take 2 to 40 s: from 12 s on no poll is let in any more once the service is quick again.

--- a/internal/job/inquiry_test.go
+++ b/internal/job/inquiry_test.go
@@ -23,13 +23,19 @@
 	back  bool
 	lose  float64
 	slow  int // milliseconds at most, each way
+	// extra is by how much longer an answer takes; nil: none does.
+	extra func() loop.Micros
 }
 
 func (n *slowNet) delay() loop.Micros { return loop.Micros(n.rng.IntN(n.slow)) * loop.Millisecond }
 
 func (n *slowNet) Post(f func()) {
 	if n.back {
-		n.After(n.delay(), f)
+		d := n.delay()
+		if n.extra != nil {
+			d += n.extra()
+		}
+		n.After(d, f)
 		return
 	}
 	n.Stepped.Post(f)
--- /dev/null
+++ b/internal/job/stale_answer_test.go
@@ -0,0 +1,112 @@
+package job
+
+import (
+	"fmt"
+	"testing"
+
+	"cleatpick/internal/loop"
+	"cleatpick/internal/wire"
+)
+
+// A submission that is repeated while the record of the first one is being stored is never
+// answered with less than the state service held when it was repeated: what another controller
+// stored and told meanwhile is not taken back. Answers of the state service take their time.
+func TestRepeatedSubmissionsAreNotAnsweredFromThePast(t *testing.T) {
+	for seed := range uint64(100) {
+		net, book := newSlowBook(seed, 200)
+		net.slow = 350
+		spec := &Spec{Class: "k", Team: "red", Tasks: 1, CPUs: 1, MemoryGB: 1, Image: "i", AnyType: true}
+		held := func(id string) int {
+			raw, found := net.state.Value(Keys + id)
+			var record Record
+			if !found || wire.Unmarshal(raw, &record) != nil {
+				return 0
+			}
+			return rankOf(record.Phase)
+		}
+		asked, answered := 0, 0
+		submit := func(id string) {
+			before := held(id)
+			asked++
+			book.Submit(id, spec, func(a Answer) {
+				answered++
+				if a.Code != 200 && a.Code != 201 {
+					return
+				}
+				if rankOf(a.Phase) < before {
+					t.Errorf("seed %d: a repeated submission of %s is told %q (%d), the state service held more when it came", seed, id, a.Phase, a.Code)
+				}
+			})
+		}
+		for k := range 20 {
+			id := fmt.Sprintf("job-%06d", k)
+			begin := loop.Micros(net.rng.IntN(4000)) * loop.Millisecond
+			net.After(begin, func() { submit(id) })
+			for range 6 {
+				net.After(begin+loop.Micros(net.rng.IntN(900))*loop.Millisecond, func() { submit(id) })
+			}
+			// Another controller stores the cancellation as soon as there is something to cancel.
+			var cancel func()
+			cancel = func() {
+				if held(id) == 0 {
+					net.After(5*loop.Millisecond, cancel)
+					return
+				}
+				net.state.Put(Keys+id, Record{Phase: Withdrawn, At: 1})
+			}
+			net.After(begin, cancel)
+		}
+		net.Run(12 * loop.Second)
+		if answered != asked {
+			t.Errorf("seed %d: %d of %d submissions are answered", seed, answered, asked)
+		}
+	}
+}
+
+// However long one comparison took, polls are answered again soon after the state service is
+// quick again: what is known of its pace must not keep out the very polls that could correct it.
+func TestPollsAreAnsweredAfterASlowComparison(t *testing.T) {
+	const jobs, pollsPerSecond, soon = 20, 10, 8 * loop.Second
+	for _, stall := range []loop.Micros{2 * loop.Second, 8 * loop.Second, 12 * loop.Second, 20 * loop.Second, 40 * loop.Second} {
+		t.Run(fmt.Sprintf("%d s", stall/loop.Second), func(t *testing.T) {
+			net, book := newSlowBook(1, 60)
+			net.slow = 10
+			spec := &Spec{Class: "k", Team: "red", Tasks: 1, CPUs: 1, MemoryGB: 1, Image: "i", AnyType: true}
+			last := map[string]loop.Micros{}
+			for k := range jobs {
+				id := fmt.Sprintf("job-%d", k)
+				record := Record{Phase: Accepted, At: 1, Spec: spec}
+				book.m.Apply(Keys+id, wire.Marshal(record), net.state.Put(Keys+id, record), false)
+			}
+			slowAt := net.Now() + 5*loop.Second
+			quickAt := slowAt + stall
+			net.extra = func() loop.Micros { // an answer comes when the service is quick again
+				if now := net.Now(); now >= slowAt && now < quickAt {
+					return quickAt - now
+				}
+				return 0
+			}
+			for k := range pollsPerSecond * 90 {
+				net.After(loop.Micros(k)*loop.Second/pollsPerSecond, func() {
+					id := fmt.Sprintf("job-%d", k%jobs)
+					book.Poll(id, func(a Answer) {
+						if a.Code == 200 {
+							last[id] = net.Now()
+						}
+					})
+				})
+			}
+			told := func(since loop.Micros, when string) {
+				for k := range jobs {
+					if id := fmt.Sprintf("job-%d", k); last[id] < since {
+						t.Errorf("nothing was told of %s %s", id, when)
+					}
+				}
+			}
+			net.Run(quickAt + soon - net.Now())
+			told(quickAt, "in the first seconds since the service is quick again")
+			net.Run(20 * loop.Second)
+			told(net.Now()-soon, "lately, long after that")
+		})
+	}
+}
