Tasks that ended while their machine was not heard tell nothing of its speed

A controller that stood still, or was cut off, saw all tasks that ended meanwhile end at once, and took the pause for slowness of each machine: a whole fleet could rest from starts for 20 s. What is first seen after a silence was left out already. The plain model and a test of its own (red before).

--- a/internal/health/runs.go
+++ b/internal/health/runs.go
@@ -87,6 +87,7 @@
 			if j.Spec != nil {
 				out.Freed += j.Spec.CPUs
 			}
+			was.unsure = was.unsure || unsure
 			out.Slow = r.completed(&was, j, paces, now) || out.Slow
 		}
 	}
--- a/internal/health/runs_test.go
+++ b/internal/health/runs_test.go
@@ -75,7 +75,7 @@
 			}
 		case x.State == wire.TaskExited && x.Why == wire.WhyDone && o != nil:
 			freed += j.Spec.CPUs
-			if !o.unsure {
+			if !o.unsure && !unsure {
 				if !o.late {
 					slow = p.speak(j.ID, now-o.since) || slow
 				}
@@ -180,3 +180,32 @@
 		t.Error("no machine was ever found slow: the test shows nothing of that")
 	}
 }
+
+// A machine whose tasks all ended while it was not heard is not slow, however long that was.
+func TestSilenceIsNoSlowness(t *testing.T) {
+	const tasks = 12
+	j := &job.Job{ID: "job-1", Phase: job.Accepted, Spec: &job.Spec{CPUs: 1, Tasks: tasks}}
+	for _, unsure := range []bool{true, false} {
+		r, paces := NewRuns(), Paces{"job-1": {n: paceTasks, mean: math.Log(float64(10 * loop.Second))}}
+		view := func(state, why string) *agent.View {
+			v := &agent.View{Name: "n-1"}
+			for i := range tasks {
+				v.Tasks = append(v.Tasks, agent.Task{Task: agent.TaskName("job-1", i), Attempt: 1, State: state, Why: why})
+			}
+			return v
+		}
+		jobs := slices.Repeat([]*job.Job{j}, tasks)
+		running, ended := view(wire.TaskRunning, ""), view(wire.TaskExited, wire.WhyDone)
+		at := 100 * loop.Second
+		r.Follow(running, &agent.Changes{All: true}, nil, jobs, paces, at, false)
+		gone := make([]int, tasks)
+		for i := range gone {
+			gone[i] = i
+		}
+		from := slices.Repeat([]int{-1}, tasks)
+		told := r.Follow(ended, &agent.Changes{From: from, Gone: gone}, running.Tasks, jobs, paces, at+40*loop.Second, unsure)
+		if told.Freed != tasks || told.Slow == unsure {
+			t.Errorf("unsure %v: %+v", unsure, told)
+		}
+	}
+}
