--- a/internal/job/submit.go
+++ b/internal/job/submit.go
@@ -166,10 +166,15 @@
 		exists[strings.TrimPrefix(key, Keys)] = true
 	}
 	for _, turn := range batch.turns {
-		id := turn.ID
-		if exists[id] {
-			b.fetch(id, func(a Answer) { b.endCreate(id, a) })
-		} else if b.creates[id] != nil {
+		c := b.creates[turn.ID]
+		switch {
+		case c == nil: // given up
+		case exists[turn.ID]:
+			delete(b.creates, turn.ID)
+			for _, q := range c.questions {
+				b.read(q)
+			}
+		default:
 			b.line.Back([]admission.Turn{turn})
 		}
 	}
