--- /dev/null
+++ b/internal/node/receive.go
@@ -0,0 +1,72 @@
+package node
+
+import (
+	"cleatpick/internal/job"
+	"cleatpick/internal/peer"
+	"cleatpick/internal/reach"
+)
+
+// receive takes in a frame of a peer.
+func (n *Node) receive(e *peer.Envelope) {
+	if s := e.Status; s != nil {
+		n.reach.Hear(e.From, reach.Word{Wall: s.Wall, Contact: s.Contact, Hears: s.Hears})
+	}
+	n.horizon.Hear(e.From, e.Life, e.Horizon)
+	n.member.LearnTeams(e.Teams)
+	for _, v := range e.Views {
+		if v != nil && v.Name != "" {
+			n.agent.Learn(v)
+		}
+	}
+	n.deltas(e)
+	for _, c := range e.Closes {
+		n.agent.Close(c.Machine, c.Until)
+	}
+	for _, s := range e.Stops {
+		n.agent.Stop(s)
+	}
+	for _, name := range e.Checks {
+		n.agent.Check(name)
+	}
+	for _, s := range e.Reserves {
+		n.agent.Reserve(s)
+	}
+	for _, s := range e.Starts {
+		n.agent.Start(s)
+	}
+	for _, d := range e.Drops {
+		n.placer.Drop(e.From, d)
+	}
+	if e.Tally != nil {
+		n.rental.Tally(e.From, *e.Tally)
+	}
+	for _, p := range e.Progress {
+		if j := n.jobs.Get(p.Job); j == nil || !j.Final() {
+			n.progress[p.Job] = job.Counts{Done: p.Done, Running: p.Running}
+		}
+	}
+	n.told(e.Progress, false)
+	if n.more != nil {
+		n.more.asks.Take(e)
+	}
+	n.jobs.LearnPlaces(e.Places)
+	n.placer.Learn(e.Usage)
+	n.placer.LearnClaims(e.Claims)
+}
+
+// deltas takes in how machines have changed at a peer, and asks for what cannot be told
+// by that here.
+func (n *Node) deltas(e *peer.Envelope) {
+	var lost []string
+	for _, d := range e.Deltas {
+		if d != nil && d.Name != "" && n.agent.LearnDelta(e.From, d) {
+			lost = append(lost, d.Name)
+		}
+	}
+	if len(lost) > 0 {
+		n.net.To(e.From, func(o *peer.Envelope) { o.Lost = append(o.Lost, lost...) })
+	}
+	if views := n.agent.Full(e.Lost); len(views) > 0 {
+		n.net.To(e.From, func(o *peer.Envelope) { o.Views = append(o.Views, views...) })
+	}
+}
