--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -300,3 +300,30 @@
 		}
 	})
 }
+
+// A list does not take back what another controller has told since, and a submission that is put
+// off is told when to come back, as under the protocol's paths.
+func TestListsAndRefusalsAreCurrent(t *testing.T) {
+	g := newRig(t)
+	g.do(t, g.keyOf("submit"), "POST", "/v1/jobs", good)
+	listed := func() int {
+		_, out := g.do(t, g.keyOf("read"), "GET", "/v1/jobs", "")
+		return len(out["jobs"].([]any))
+	}
+	if n := listed(); n != 1 {
+		t.Fatalf("%d jobs are listed", n)
+	}
+	g.state.Put(job.Keys+"job-000001", job.Record{Phase: job.Withdrawn, At: 1})
+	if n := listed(); n != 0 {
+		t.Errorf("%d jobs are listed as not over, after another controller's cancellation", n)
+	}
+	g.state.SetDown(true)
+	if code, _ := g.do(t, g.keyOf("read"), "GET", "/v1/jobs", ""); code != 503 {
+		t.Errorf("a list that cannot be current is given with %d", code)
+	}
+	var told outcome
+	g.api.tell(job.Answer{Code: 429, ID: "job-000001", After: 17}, func(o outcome) { told = o })
+	if told.problem == nil || told.problem.Status != 429 || told.problem.retry != 17 {
+		t.Errorf("put off for 17 s is told as %+v", told.problem)
+	}
+}
--- a/internal/api/list.go
+++ b/internal/api/list.go
@@ -56,34 +56,68 @@
 		return
 	}
 	a.onLoop(c, func(done func(outcome)) {
-		var ids []string
-		a.n.Jobs.Each(func(j *job.Job) {
-			if j.ID <= after || ((state == "" || state == "unfinished" || state == "pending" || state == "running") && j.Final()) ||
-				(state == "done" && j.Phase != job.Done) || (state == "withdrawn" && j.Phase != job.Withdrawn) {
+		// What another controller has told since is not taken back by a list either.
+		a.n.Jobs.Sync(func(ok bool) {
+			if !ok {
+				done(noAnswer.outcome())
 				return
 			}
-			if (team != "" || class != "") && (j.Spec == nil || (team != "" && j.Spec.Team != team) || (class != "" && j.Spec.Class != class)) {
-				return
-			}
-			if cause != 0 && !a.waitsFor(j.ID, cause) {
-				return
-			}
-			if run := a.n.Counts(j).Running > 0; (state == "pending" && run) || (state == "running" && !run) {
-				return
-			}
-			ids = append(ids, j.ID)
+			done(outcome{status: 200, body: a.jobsOf(filter{team, class, state, cause}, after, limit)})
 		})
-		slices.Sort(ids)
-		out := Jobs{Jobs: []Job{}}
-		if len(ids) > limit {
-			ids = ids[:limit]
-			out.Next = ids[limit-1]
-		}
-		for _, id := range ids {
-			out.Jobs = append(out.Jobs, a.show(a.n.Jobs.Get(id)))
+	})
+}
+
+// filter says which jobs a list shows; what is empty selects all.
+type filter struct {
+	team, class, state string
+	cause              gate.Kind
+}
+
+// jobsOf lists up to limit jobs behind an id.
+func (a *API) jobsOf(f filter, after string, limit int) Jobs {
+	var ids []string
+	a.n.Jobs.Each(func(j *job.Job) {
+		if j.ID > after && a.selects(&f, j) {
+			ids = append(ids, j.ID)
 		}
-		done(outcome{status: 200, body: out})
 	})
+	slices.Sort(ids)
+	out := Jobs{Jobs: []Job{}}
+	if len(ids) > limit {
+		ids = ids[:limit]
+		out.Next = ids[limit-1]
+	}
+	for _, id := range ids {
+		out.Jobs = append(out.Jobs, a.show(a.n.Jobs.Get(id)))
+	}
+	return out
+}
+
+// selects tells whether a filter shows a job.
+func (a *API) selects(f *filter, j *job.Job) bool {
+	switch f.state {
+	case "any":
+	case "done":
+		if j.Phase != job.Done {
+			return false
+		}
+	case "withdrawn":
+		if j.Phase != job.Withdrawn {
+			return false
+		}
+	default:
+		if j.Final() {
+			return false
+		}
+	}
+	if (f.team != "" || f.class != "") && (j.Spec == nil || (f.team != "" && j.Spec.Team != f.team) || (f.class != "" && j.Spec.Class != f.class)) {
+		return false
+	}
+	if f.cause != 0 && !a.waitsFor(j.ID, f.cause) {
+		return false
+	}
+	runs := a.n.Counts(j).Running > 0
+	return !(f.state == "pending" && runs) && !(f.state == "running" && !runs)
 }
 
 func (a *API) waitsFor(id string, k gate.Kind) bool {
--- a/internal/job/read.go
+++ b/internal/job/read.go
@@ -89,6 +89,13 @@
 	r.sync()
 }
 
+// Sync calls cb once the copy of the records holds whatever the state service held when it was
+// called, for answers about many jobs; ok is false where that cannot be had in time.
+func (r *Registry) Sync(cb func(ok bool)) {
+	q := r.ask("", true, func(a Answer) { cb(!a.refuses()) })
+	r.read(q)
+}
+
 // refuseFull tells a user to come back; the room is free again after the next answer.
 func (r *Registry) refuseFull(q *question) {
 	r.reads.refused++
