--- a/internal/node/addition_test.go
+++ b/internal/node/addition_test.go
@@ -120,20 +120,13 @@
 // is any of those met until now.
 func (w *world) strikes(r *rand.Rand, first []namedTrouble) {
 	others := slices.Concat(added, together, met)
-	var strike func()
-	strike = func() {
+	w.strikeAgain(15*loop.Second, 8*loop.Second, 30*loop.Second, func() {
 		first[r.IntN(len(first))].do(w)
 		if r.IntN(2) == 0 {
 			second := others[r.IntN(len(others))]
 			w.at(w.between(0, 5*loop.Second), func() { second.do(w) })
 		}
-		w.at(w.between(8*loop.Second, 30*loop.Second), func() {
-			if w.now < 3600*loop.Second+130*loop.Second {
-				strike()
-			}
-		})
-	}
-	w.at(15*loop.Second, strike)
+	})
 }
 
 // No rule breaks, no job is forgotten, everything gets done, and nothing is under half.
--- a/internal/node/close_looks_test.go
+++ b/internal/node/close_looks_test.go
@@ -60,18 +60,11 @@
 		})
 	}
 	w.at(5*loop.Second, func() { w.closeLooks(130 * loop.Second) })
-	var strike func()
-	strike = func() {
+	w.strikeAgain(10*loop.Second, 8*loop.Second, 25*loop.Second, func() {
 		answerTroubles[r.IntN(len(answerTroubles))].do(w)
 		second := answerTroubles[r.IntN(len(answerTroubles))]
 		w.at(w.between(0, 4*loop.Second), func() { second.do(w) })
-		w.at(w.between(8*loop.Second, 25*loop.Second), func() {
-			if w.now < 3600*loop.Second+130*loop.Second {
-				strike()
-			}
-		})
-	}
-	w.at(10*loop.Second, strike)
+	})
 	w.judged(260 * loop.Second)
 	return w
 }
--- a/internal/node/meetings_test.go
+++ b/internal/node/meetings_test.go
@@ -152,18 +152,11 @@
 		})
 	}
 	troubles := slices.Concat(meetings, meetings, added, together, met)
-	var strike func()
-	strike = func() {
+	w.strikeAgain(15*loop.Second, 10*loop.Second, 35*loop.Second, func() {
 		meetings[r.IntN(len(meetings))].do(w)
 		second := troubles[r.IntN(len(troubles))]
 		w.at(w.between(0, 5*loop.Second), func() { second.do(w) })
-		w.at(w.between(10*loop.Second, 35*loop.Second), func() {
-			if w.now < 3600*loop.Second+130*loop.Second {
-				strike()
-			}
-		})
-	}
-	w.at(15*loop.Second, strike)
+	})
 	w.judged(260 * loop.Second)
 	return w
 }
--- a/internal/node/operators_test.go
+++ b/internal/node/operators_test.go
@@ -242,20 +242,13 @@
 			})
 			w.at(5*loop.Second, func() { w.mistaken(600000, 1+r.IntN(3)) })
 			troubles := append(slices.Clone(met), together...)
-			var strike func()
-			strike = func() {
+			w.strikeAgain(15*loop.Second, 10*loop.Second, 40*loop.Second, func() {
 				troubles[r.IntN(len(met))].do(w)
 				if r.IntN(2) == 0 {
 					second := troubles[r.IntN(len(troubles))]
 					w.at(w.between(0, 5*loop.Second), func() { second.do(w) })
 				}
-				w.at(w.between(10*loop.Second, 40*loop.Second), func() {
-					if w.now < 3600*loop.Second+130*loop.Second {
-						strike()
-					}
-				})
-			}
-			w.at(15*loop.Second, strike)
+			})
 			w.run(3600*loop.Second + 700*loop.Second)
 			w.settled(20)
 			w.halfServed()
--- a/internal/node/sim_test.go
+++ b/internal/node/sim_test.go
@@ -84,6 +84,24 @@
 	})
 }
 
+// lastStrike is when the last trouble of a world may begin.
+const lastStrike = 3600*loop.Second + 130*loop.Second
+
+// strikeAgain lets troubles strike from a time after now on, again and again after pauses drawn
+// from a range, until lastStrike.
+func (w *world) strikeAgain(first, least, most loop.Micros, strike func()) {
+	var again func()
+	again = func() {
+		strike()
+		w.at(w.between(least, most), func() {
+			if w.now < lastStrike {
+				again()
+			}
+		})
+	}
+	w.at(first, again)
+}
+
 // seeds are the worlds to play. CLEATPICK_SEEDS="from to" plays others, as a hunt for
 // broken rules; CLEATPICK_TRACE=1 prints the nodes' logs with it.
 func seeds(t *testing.T, from, to uint64) (uint64, uint64) {
--- a/internal/node/soak_test.go
+++ b/internal/node/soak_test.go
@@ -43,19 +43,12 @@
 		w.at(5*loop.Second, func() { w.closeLooks(w.between(20*loop.Second, 130*loop.Second)) })
 	}
 	troubles := slices.Concat(meetings, added, together, met, answerTroubles)
-	var strike func()
-	strike = func() {
+	w.strikeAgain(12*loop.Second, 10*loop.Second, 35*loop.Second, func() {
 		for range 2 + r.IntN(2) {
 			trouble := troubles[r.IntN(len(troubles))]
 			w.at(w.between(0, 5*loop.Second), func() { trouble.do(w) })
 		}
-		w.at(w.between(10*loop.Second, 35*loop.Second), func() {
-			if w.now < 3600*loop.Second+130*loop.Second {
-				strike()
-			}
-		})
-	}
-	w.at(12*loop.Second, strike)
+	})
 	w.judged(260 * loop.Second)
 	return w
 }
