--- a/internal/node/sim_test.go
+++ b/internal/node/sim_test.go
@@ -72,7 +72,7 @@
 		for _, x := range loop.Sorted(w.workers) {
 			if !x.gone {
 				x.hanging = true
-				w.at(w.between(loop.Second, 14*loop.Second), func() { x.hanging = false })
+				w.at(w.between(loop.Second, 14*loop.Second), func() { w.resume(x) })
 				break
 			}
 		}
--- a/internal/node/together_test.go
+++ b/internal/node/together_test.go
@@ -55,7 +55,15 @@
 	for _, name := range names {
 		x := w.workers[name]
 		x.hanging = true
-		w.at(d, func() { x.hanging = false })
+		w.at(d, func() { w.resume(x) })
+	}
+}
+
+// resume lets a machine go on. What its lease no longer covers ends before anything else.
+func (w *world) resume(x *simWorker) {
+	x.hanging = false
+	if !x.gone {
+		x.w.Tick(w.now)
 	}
 }
 
