--- a/internal/job/registry.go
+++ b/internal/job/registry.go
@@ -54,7 +54,7 @@
 	var rec Record
 	if err := wire.Unmarshal(e.Value, &rec); err != nil || !rec.sound() {
 		// A record that makes no sense is set aside: nothing is started on its account. That
-		// the job was accepted is certain, and still told: see damaged.
+		// the job was accepted is certain, and still told: see current.
 		r.log.Error("corrupt record set aside", "key", key, "err", err)
 		r.damaged[id] = true
 		return
