--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -28,7 +28,7 @@
 	// Unheard names the owners of teams that were not heard lately, and teams that
 	// nobody owns: what is told of them may be old.
 	Unheard func() []string
-	Book    *job.Book
+	Jobs    *job.Registry
 	Cordons *cordon.Book
 	// Unseen counts starts that were recorded earlier and may still begin where a cordon
 	// bars them; ok is false where an owner could not be asked.
--- a/internal/api/cluster.go
+++ b/internal/api/cluster.go
@@ -206,7 +206,7 @@
 		}
 		all := map[key]*sum{}
 		wall := a.r.Wall()
-		a.n.Book.Each(func(j *job.Job) {
+		a.n.Jobs.Each(func(j *job.Job) {
 			if j.Final() || j.Spec == nil {
 				return
 			}
--- a/internal/api/jobs.go
+++ b/internal/api/jobs.go
@@ -88,12 +88,12 @@
 			done(pastUntil.at("/holdUntil").outcome())
 			return
 		}
-		if a.n.Book.Get(p.ID) == nil {
+		if a.n.Jobs.Get(p.ID) == nil {
 			if types := a.n.Types(); len(types) == 0 {
 				done(notReady.with("the machine types are not known yet").outcome())
 				return
 			} else if !job.Runnable(spec, a.cfg, types) {
-				a.n.Book.Poll(p.ID, func(x job.Answer) {
+				a.n.Jobs.Poll(p.ID, func(x job.Answer) {
 					if x.Code == 404 {
 						done(cannotRun.outcome())
 						return
@@ -112,8 +112,8 @@
 				done(noAnswer.outcome())
 				return
 			}
-			a.n.Book.Propose(p.ID, spec, terms, func(x job.Answer) {
-				j := a.n.Book.Get(p.ID)
+			a.n.Jobs.Propose(p.ID, spec, terms, func(x job.Answer) {
+				j := a.n.Jobs.Get(p.ID)
 				if x.Code == 200 && j != nil && !j.Final() && len(p.After) > 0 && !slices.Equal(j.Terms.After, p.After) {
 					done(otherwise.at("/after").outcome())
 					return
@@ -130,7 +130,7 @@
 		cb("", 200)
 		return
 	}
-	a.n.Book.Exists(ids[0], func(code int) {
+	a.n.Jobs.Exists(ids[0], func(code int) {
 		if code != 200 {
 			cb(ids[0], code)
 			return
@@ -141,7 +141,7 @@
 
 // tell answers with a job as it stands.
 func (a *API) tell(x job.Answer, done func(outcome)) {
-	j := a.n.Book.Get(x.ID)
+	j := a.n.Jobs.Get(x.ID)
 	switch {
 	case x.Code == 404:
 		done(unknownJob.with("%s", x.ID).outcome())
@@ -225,7 +225,7 @@
 	}
 	for _, id := range j.Terms.After {
 		phase := job.Phase("")
-		if o := a.n.Book.Get(id); o != nil {
+		if o := a.n.Jobs.Get(id); o != nil {
 			phase = o.Phase
 		}
 		out.After = append(out.After, explain.Before{Job: id, State: explain.PhaseName(phase)})
@@ -248,7 +248,7 @@
 func (a *API) job(c *call) {
 	if c.named() {
 		a.onLoop(c, func(done func(outcome)) {
-			a.n.Book.Poll(c.arg, func(x job.Answer) { a.tell(x, done) })
+			a.n.Jobs.Poll(c.arg, func(x job.Answer) { a.tell(x, done) })
 		})
 	}
 }
@@ -273,20 +273,20 @@
 				return
 			}
 		}
-		a.n.Book.Hold(c.arg, h, a.unlessOver(done))
+		a.n.Jobs.Hold(c.arg, h, a.unlessOver(done))
 	})
 }
 
 func (a *API) release(c *call) {
 	if c.named() {
-		a.onLoop(c, func(done func(outcome)) { a.n.Book.Release(c.arg, a.unlessOver(done)) })
+		a.onLoop(c, func(done func(outcome)) { a.n.Jobs.Release(c.arg, a.unlessOver(done)) })
 	}
 }
 
 func (a *API) withdraw(c *call) {
 	if c.named() {
 		a.onLoop(c, func(done func(outcome)) {
-			a.n.Book.Withdraw(c.arg, func(x job.Answer) { a.tell(x, done) })
+			a.n.Jobs.Withdraw(c.arg, func(x job.Answer) { a.tell(x, done) })
 		})
 	}
 }
--- a/internal/api/list.go
+++ b/internal/api/list.go
@@ -57,7 +57,7 @@
 	}
 	a.onLoop(c, func(done func(outcome)) {
 		var ids []string
-		a.n.Book.Each(func(j *job.Job) {
+		a.n.Jobs.Each(func(j *job.Job) {
 			if j.ID <= after || ((state == "" || state == "unfinished" || state == "pending" || state == "running") && j.Final()) ||
 				(state == "done" && j.Phase != job.Done) || (state == "withdrawn" && j.Phase != job.Withdrawn) {
 				return
@@ -80,7 +80,7 @@
 			out.Next = ids[limit-1]
 		}
 		for _, id := range ids {
-			out.Jobs = append(out.Jobs, a.show(a.n.Book.Get(id)))
+			out.Jobs = append(out.Jobs, a.show(a.n.Jobs.Get(id)))
 		}
 		done(outcome{status: 200, body: out})
 	})
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -29,7 +29,7 @@
 	// Foreign tells whether a team that these settings do not name is served by others.
 	Foreign func(team string) bool
 	Counts  func(*job.Job) job.Counts
-	Book    *job.Book
+	Jobs    *job.Registry
 	Agent   *agent.Agent
 	// API serves what stands beside the protocol: /v1/ and /metrics; nil: nothing does.
 	API fasthttp.RequestHandler
@@ -125,9 +125,9 @@
 	case strings.HasPrefix(path, "/work/"):
 		id := strings.TrimPrefix(path, "/work/")
 		if base, ok := strings.CutSuffix(id, "/withdraw"); ok && post {
-			f.named(ctx, base, f.n.Book.Withdraw)
+			f.named(ctx, base, f.n.Jobs.Withdraw)
 		} else if get {
-			f.named(ctx, id, f.n.Book.Poll)
+			f.named(ctx, id, f.n.Jobs.Poll)
 		} else {
 			write(ctx, 405, wire.Error{Error: "method not allowed"})
 		}
@@ -181,7 +181,7 @@
 
 // turnAway tells the user of a job to come back, before anything is known of the request.
 func (f *Front) turnAway(done func(verdict), id, why string) {
-	f.n.Book.TurnAway(id, why)
+	f.n.Jobs.TurnAway(id, why)
 	done(verdict{status: 503, why: why})
 }
 
@@ -231,7 +231,7 @@
 func (f *Front) settle(done func(verdict)) func(job.Answer) {
 	return func(a job.Answer) {
 		v := verdict{a: a}
-		if j := f.n.Book.Get(a.ID); j != nil {
+		if j := f.n.Jobs.Get(a.ID); j != nil {
 			v.counts = f.n.Counts(j)
 		}
 		done(v)
@@ -247,7 +247,7 @@
 	// A job that was accepted is never refused, whatever is asked for now, also where this node
 	// has not read of it yet.
 	unless := func(done func(verdict), no verdict) {
-		f.n.Book.Poll(id, func(a job.Answer) {
+		f.n.Jobs.Poll(id, func(a job.Answer) {
 			if a.Code == 404 {
 				done(no)
 				return
@@ -264,7 +264,7 @@
 			unless(done, verdict{status: 400, why: "malformed submission"})
 			return
 		}
-		if f.n.Book.Get(id) == nil {
+		if f.n.Jobs.Get(id) == nil {
 			types := f.n.Types()
 			if len(types) == 0 {
 				f.turnAway(done, id, "machine types not known yet")
@@ -280,11 +280,11 @@
 				return
 			}
 		}
-		f.n.Book.Submit(id, spec, f.settle(done))
+		f.n.Jobs.Submit(id, spec, f.settle(done))
 	}))
 }
 
-// named answers a request about one job by way of the book.
+// named answers a request about one job by way of the registry.
 func (f *Front) named(ctx *fasthttp.RequestCtx, id string, request func(id string, cb func(job.Answer))) {
 	if !job.ValidID(id) {
 		write(ctx, 404, wire.Error{Error: "no such job"})
--- a/internal/job/amend.go
+++ b/internal/job/amend.go
@@ -15,71 +15,71 @@
 // Amend changes a job's record on the version that is known, and tries again from the
 // newer one when that has moved. cb gets the job as it then stands, 404 or 503; a job
 // that is over is never changed.
-func (b *Book) Amend(id string, edit Edit, cb func(Answer)) {
-	b.amend(b.ask(id, true, cb), edit)
+func (r *Registry) Amend(id string, edit Edit, cb func(Answer)) {
+	r.amend(r.ask(id, true, cb), edit)
 }
 
-func (b *Book) amend(q *question, edit Edit) {
-	j := b.jobs[q.id]
+func (r *Registry) amend(q *question, edit Edit) {
+	j := r.jobs[q.id]
 	switch {
-	case b.bad[q.id]:
-		b.deliver(q, refusal(q.id, 503, RefusedState))
+	case r.damaged[q.id]:
+		r.deliver(q, refusal(q.id, 503, RefusedState))
 	case j == nil:
-		b.amendFetched(q, edit, 404)
+		r.amendFetched(q, edit, 404)
 	case j.Final():
-		b.deliver(q, b.current(q.id, 200, WayFinal, 0))
-	case b.r.Now() >= q.deadline:
-		b.deliver(q, refusal(q.id, 503, RefusedExpired))
+		r.deliver(q, r.current(q.id, 200, WayFinal, 0))
+	case r.runner.Now() >= q.deadline:
+		r.deliver(q, refusal(q.id, 503, RefusedExpired))
 	default:
 		if record := edit(j); record != nil {
-			b.storeAmended(q, edit, j, record)
+			r.storeAmended(q, edit, j, record)
 			return
 		}
-		b.unchanged(q, edit)
+		r.unchanged(q, edit)
 	}
 }
 
 // unchanged confirms that a job needs no change: what is known here may be old.
-func (b *Book) unchanged(q *question, edit Edit) {
+func (r *Registry) unchanged(q *question, edit Edit) {
 	confirm := *q
 	confirm.reply = func(a Answer) {
-		if j := b.jobs[q.id]; a.Code == 200 && j != nil && !j.Final() && edit(j) != nil {
-			b.amend(q, edit)
+		if j := r.jobs[q.id]; a.Code == 200 && j != nil && !j.Final() && edit(j) != nil {
+			r.amend(q, edit)
 			return
 		}
 		q.reply(a)
 	}
-	b.read(&confirm)
+	r.read(&confirm)
 }
 
-func (b *Book) storeAmended(q *question, edit Edit, j *Job, record *Record) {
-	request := b.c.Next()
-	b.c.Txn(store.Answers, wire.Txn{If: []wire.Cond{Cond(j)}, Then: []wire.Change{{Put: Keys + q.id, Value: *record}}}, func(r store.Result) {
-		switch r.Outcome {
+func (r *Registry) storeAmended(q *question, edit Edit, j *Job, record *Record) {
+	request := r.client.Next()
+	r.client.Txn(store.Answers, wire.Txn{If: []wire.Cond{Cond(j)}, Then: []wire.Change{{Put: Keys + q.id, Value: *record}}}, func(result store.Result) {
+		switch result.Outcome {
 		case store.Applied:
-			b.m.Apply(Keys+q.id, wire.Marshal(*record), r.Tally, false)
-			b.deliver(q, b.current(q.id, 200, WayStored, request))
+			r.mirror.Apply(Keys+q.id, wire.Marshal(*record), result.Tally, false)
+			r.deliver(q, r.current(q.id, 200, WayStored, request))
 		case store.Conflict:
-			b.amendFetched(q, edit, 503) // a record that was there is never removed
+			r.amendFetched(q, edit, 503) // a record that was there is never removed
 		case store.Refused:
-			b.deliver(q, refusal(q.id, 503, RefusedState))
+			r.deliver(q, refusal(q.id, 503, RefusedState))
 		default:
-			b.r.After(amendAgain, func() { b.amend(q, edit) })
+			r.runner.After(amendAgain, func() { r.amend(q, edit) })
 		}
 	})
 }
 
 // amendFetched reads the record, and goes on with it; absent is what is told where there is none.
-func (b *Book) amendFetched(q *question, edit Edit, absent int) {
-	b.fetch(q.id, func(a Answer) {
+func (r *Registry) amendFetched(q *question, edit Edit, absent int) {
+	r.fetch(q.id, func(a Answer) {
 		switch a.Code {
 		case 200:
-			b.amend(q, edit)
+			r.amend(q, edit)
 		case 404:
 			a.Code = absent
-			b.deliver(q, a)
+			r.deliver(q, a)
 		default:
-			b.deliver(q, a)
+			r.deliver(q, a)
 		}
 	})
 }
@@ -89,8 +89,8 @@
 }
 
 // Withdraw stores a cancellation unless the job is done; cb gets the final state, 404 or 503.
-func (b *Book) Withdraw(id string, cb func(Answer)) {
-	b.Amend(id, func(j *Job) *Record {
+func (r *Registry) Withdraw(id string, cb func(Answer)) {
+	r.Amend(id, func(j *Job) *Record {
 		rec := j.with(j.Terms)
 		rec.Phase = Withdrawn
 		return rec
@@ -100,9 +100,9 @@
 // Hold keeps a job's tasks from being started, until it is released or a time of day
 // comes. It begins as settling: the job's owner calls it set once nothing that was
 // recorded as started before can begin any more.
-func (b *Book) Hold(id string, h Hold, cb func(Answer)) {
-	h.At = b.r.Wall()
-	b.Amend(id, func(j *Job) *Record {
+func (r *Registry) Hold(id string, h Hold, cb func(Answer)) {
+	h.At = r.runner.Wall()
+	r.Amend(id, func(j *Job) *Record {
 		old := j.Terms.Hold
 		if old.State != HoldNone && old.Until == h.Until && old.Reason == h.Reason && old.By == h.By && h.Shut(h.At) {
 			return nil // repeated
@@ -120,9 +120,9 @@
 }
 
 // Settle calls a hold set, as long as the job's record is still of this version.
-func (b *Book) Settle(id string, mark uint64, cb func(Answer)) {
-	b.Amend(id, func(j *Job) *Record {
-		if j.Mark != mark || j.Terms.Hold.State != HoldSettling {
+func (r *Registry) Settle(id string, mark uint64, cb func(Answer)) {
+	r.Amend(id, func(j *Job) *Record {
+		if j.Revision != mark || j.Terms.Hold.State != HoldSettling {
 			return nil
 		}
 		t := j.Terms
@@ -133,14 +133,14 @@
 
 // Release ends a job's hold, and releases it from the jobs that it waited for and that
 // were withdrawn.
-func (b *Book) Release(id string, cb func(Answer)) {
-	b.Amend(id, func(j *Job) *Record {
+func (r *Registry) Release(id string, cb func(Answer)) {
+	r.Amend(id, func(j *Job) *Record {
 		t := j.Terms
 		changed := t.Hold.State != HoldNone
 		t.Hold = Hold{}
 		if t.OnWithdrawn == PolicyHold {
 			for _, d := range t.After {
-				if o := b.jobs[d]; o != nil && o.Phase == Withdrawn && !t.WaivedFrom(d) {
+				if o := r.jobs[d]; o != nil && o.Phase == Withdrawn && !t.WaivedFrom(d) {
 					t.Waived = append(t.Waived[:len(t.Waived):len(t.Waived)], d)
 					changed = true
 				}
@@ -155,10 +155,10 @@
 
 // Exists tells whether a job was ever accepted; cb gets 200, 404 or 503. Records are never removed,
 // so that one known here is enough.
-func (b *Book) Exists(id string, cb func(code int)) {
-	if b.jobs[id] != nil {
+func (r *Registry) Exists(id string, cb func(code int)) {
+	if r.jobs[id] != nil {
 		cb(200)
 		return
 	}
-	b.fetch(id, func(a Answer) { cb(a.Code) })
+	r.fetch(id, func(a Answer) { cb(a.Code) })
 }
--- a/internal/job/answer.go
+++ b/internal/job/answer.go
@@ -66,21 +66,21 @@
 	since loop.Micros
 }
 
-func (b *Book) ask(id string, change bool, reply func(Answer)) *question {
-	now := b.r.Now()
-	return &question{id: id, change: change, reply: reply, number: b.c.Next(), asked: now, deadline: now + patience, since: b.overdue.since(id, now)}
+func (r *Registry) ask(id string, change bool, reply func(Answer)) *question {
+	now := r.runner.Now()
+	return &question{id: id, change: change, reply: reply, number: r.client.Next(), asked: now, deadline: now + patience, since: r.overdue.since(id, now)}
 }
 
 // current is what the copy of the records says of a job, resting on a request.
-func (b *Book) current(id string, code int, way Way, request store.Sequence) Answer {
-	if b.bad[id] {
+func (r *Registry) current(id string, code int, way Way, request store.Sequence) Answer {
+	if r.damaged[id] {
 		way = WayDamaged
 	}
-	j := b.jobs[id]
+	j := r.jobs[id]
 	switch {
-	case j != nil && j.Told != 0:
+	case j != nil && j.PeerRevision != 0:
 		way = WayPeer
-	case j == nil && b.bad[id]:
+	case j == nil && r.damaged[id]:
 		return Answer{Code: 200, Phase: Accepted, ID: id, way: way, request: request}
 	case j == nil:
 		return Answer{Code: 404, ID: id, way: way, request: request}
@@ -92,37 +92,37 @@
 // one that rests on a request to the state service that was made before the question came may be
 // older than what another controller has told since, unless it says that the job is over. Such a
 // question waits for a newer answer instead.
-func (b *Book) deliver(q *question, a Answer) {
+func (r *Registry) deliver(q *question, a Answer) {
 	if !a.refuses() && !a.over() && a.request < q.number {
-		b.c.Meter.OutdatedAnswer()
-		b.log.Debug("an answer is older than its question", "job", q.id, "way", a.way, "code", a.Code)
-		b.read(q)
+		r.client.Meter.OutdatedAnswer()
+		r.log.Debug("an answer is older than its question", "job", q.id, "way", a.way, "code", a.Code)
+		r.read(q)
 		return
 	}
-	b.note(q, a)
+	r.note(q, a)
 	q.reply(a)
 }
 
 // note keeps since when a job's questions go unanswered, and tells the operators how this one was
 // answered.
-func (b *Book) note(q *question, a Answer) {
+func (r *Registry) note(q *question, a Answer) {
 	if a.refuses() {
-		if j := b.jobs[q.id]; j != nil && !j.Final() {
-			b.overdue.refused(q.id, q.since)
+		if j := r.jobs[q.id]; j != nil && !j.Final() {
+			r.overdue.refused(q.id, q.since)
 		}
-		b.refusals.Refuse(string(a.way), b.r.Now())
+		r.refusals.Refuse(string(a.way), r.runner.Now())
 	} else {
-		b.overdue.answered(q.id)
+		r.overdue.answered(q.id)
 	}
-	b.c.Meter.Answer(q.change, string(a.way))
-	if !b.log.Enabled(context.Background(), slog.LevelDebug) {
+	r.client.Meter.Answer(q.change, string(a.way))
+	if !r.log.Enabled(context.Background(), slog.LevelDebug) {
 		return
 	}
 	revision := uint64(0)
-	if j := b.jobs[q.id]; j != nil {
-		revision = j.Mark
+	if j := r.jobs[q.id]; j != nil {
+		revision = j.Revision
 	}
-	now := b.r.Now()
-	b.log.Debug("answer", "job", q.id, "change", q.change, "way", a.way, "code", a.Code, "phase", a.Phase, "revision", revision,
+	now := r.runner.Now()
+	r.log.Debug("answer", "job", q.id, "change", q.change, "way", a.way, "code", a.Code, "phase", a.Phase, "revision", revision,
 		"waited_us", now-q.asked, "unanswered_us", now-q.since, "after_s", a.After)
 }
--- a/internal/job/read.go
+++ b/internal/job/read.go
@@ -54,86 +54,86 @@
 	rankUnknown
 )
 
-func (b *Book) rankOf(q *question) rank {
+func (r *Registry) rankOf(q *question) rank {
 	switch {
 	case q.change:
 		return rankChange
-	case b.jobs[q.id] != nil || b.bad[q.id]:
+	case r.jobs[q.id] != nil || r.damaged[q.id]:
 		return rankKnown
 	}
 	return rankUnknown
 }
 
 // Asking is the number of users that wait to be told of a job's state.
-func (b *Book) Asking() int { return len(b.reads.waiting) }
+func (r *Registry) Asking() int { return len(r.reads.waiting) }
 
 // MostAsking bounds the users that may wait to be told of a job's state: each holds a connection,
 // and some must be left to submissions.
-func (b *Book) MostAsking(n int) { b.reads.most = min(max(n, 1), mostWaiting) }
+func (r *Registry) MostAsking(n int) { r.reads.most = min(max(n, 1), mostWaiting) }
 
 // read answers a question once the copy of the records is certain to be as new as it needs.
-func (b *Book) read(q *question) {
-	w := &b.reads
-	q.rank = b.rankOf(q)
+func (r *Registry) read(q *question) {
+	w := &r.reads
+	q.rank = r.rankOf(q)
 	if n := len(w.waiting); !q.change && n >= w.most {
 		last := w.waiting[n-1]
 		if last.change || order(last, q) < 0 {
-			b.refuseFull(q)
+			r.refuseFull(q)
 			return
 		}
 		w.waiting = w.waiting[:n-1]
-		b.refuseFull(last)
+		r.refuseFull(last)
 	}
 	i, _ := slices.BinarySearchFunc(w.waiting, q, order)
 	w.waiting = slices.Insert(w.waiting, i, q)
-	b.sync()
+	r.sync()
 }
 
 // refuseFull tells a user to come back; the room is free again after the next answer.
-func (b *Book) refuseFull(q *question) {
-	b.reads.refused++
+func (r *Registry) refuseFull(q *question) {
+	r.reads.refused++
 	a := refusal(q.id, 429, RefusedFull)
-	a.After = 1 + b.reads.refused%spreadSeconds
-	b.deliver(q, a)
+	a.After = 1 + r.reads.refused%spreadSeconds
+	r.deliver(q, a)
 }
 
 // sync brings the copy up to date while questions wait, one request at a time.
-func (b *Book) sync() {
-	if b.reads.syncing || len(b.reads.waiting) == 0 {
+func (r *Registry) sync() {
+	if r.reads.syncing || len(r.reads.waiting) == 0 {
 		return
 	}
-	b.reads.syncing = true
-	before := b.c.Next()
-	b.m.Sync(store.Inquiries, func(outcome store.Outcome) {
+	r.reads.syncing = true
+	before := r.client.Next()
+	r.mirror.Sync(store.Inquiries, func(outcome store.Outcome) {
 		if outcome == store.Refused {
 			// Nothing can be told now: users are told at once when to come back.
-			b.settle(func(q *question) bool { return q.number < before }, func(q *question) {
-				b.deliver(q, refusal(q.id, 503, RefusedState))
+			r.settle(func(q *question) bool { return q.number < before }, func(q *question) {
+				r.deliver(q, refusal(q.id, 503, RefusedState))
 			})
 		}
-		b.r.After(readInterval, func() {
-			b.reads.syncing = false
-			b.sync()
+		r.runner.After(readInterval, func() {
+			r.reads.syncing = false
+			r.sync()
 		})
 	})
 }
 
 // synced answers the questions that came before a request whose answer has been taken in.
-func (b *Book) synced(s store.Synced) {
-	b.settle(func(q *question) bool { return q.number < s.Request }, func(q *question) {
-		a := b.current(q.id, 200, WayRead, s.Request)
+func (r *Registry) synced(s store.Synced) {
+	r.settle(func(q *question) bool { return q.number < s.Request }, func(q *question) {
+		a := r.current(q.id, 200, WayRead, s.Request)
 		if a.Code == 404 && q.absent != nil {
 			q.absent()
 			return
 		}
-		b.deliver(q, a)
+		r.deliver(q, a)
 	})
 }
 
 // settle takes questions out of those that wait, and ends each.
-func (b *Book) settle(which func(*question) bool, end func(*question)) {
+func (r *Registry) settle(which func(*question) bool, end func(*question)) {
 	var settled, rest []*question
-	for _, q := range b.reads.waiting {
+	for _, q := range r.reads.waiting {
 		if which(q) {
 			settled = append(settled, q)
 		} else {
@@ -143,15 +143,15 @@
 	if len(settled) == 0 {
 		return
 	}
-	b.reads.waiting = rest
+	r.reads.waiting = rest
 	for _, q := range settled {
 		end(q)
 	}
 }
 
 // expireReads gives up what has waited too long.
-func (b *Book) expireReads(now loop.Micros) {
-	b.settle(func(q *question) bool { return now >= q.deadline }, func(q *question) {
-		b.deliver(q, refusal(q.id, 503, RefusedExpired))
+func (r *Registry) expireReads(now loop.Micros) {
+	r.settle(func(q *question) bool { return now >= q.deadline }, func(q *question) {
+		r.deliver(q, refusal(q.id, 503, RefusedExpired))
 	})
 }
--- a/internal/job/record.go
+++ b/internal/job/record.go
@@ -78,16 +78,16 @@
 
 // Job is a job as known here.
 type Job struct {
-	ID    string
-	Mark  uint64
-	Phase Phase
-	At    int64
-	Spec  *Spec
-	Tasks int
-	Terms Terms
-	// Told is the version in which a peer knows the job as withdrawn, while it is only known
+	ID       string
+	Revision uint64 // of the newest record that is known here
+	Phase    Phase
+	At       int64
+	Spec     *Spec
+	Tasks    int
+	Terms    Terms
+	// PeerRevision is that in which a peer knows the job as withdrawn, while it is only known
 	// here by that; 0: it is not.
-	Told uint64
+	PeerRevision uint64
 }
 
 // Final tells whether the job is over.
--- a/internal/job/submit.go
+++ b/internal/job/submit.go
@@ -29,60 +29,62 @@
 }
 
 // Submit stores a job unless it exists; cb gets 201 or 200, or 429 and 503.
-func (b *Book) Submit(id string, spec *Spec, cb func(Answer)) { b.Propose(id, spec, &Terms{}, cb) }
+func (r *Registry) Submit(id string, spec *Spec, cb func(Answer)) {
+	r.Propose(id, spec, &Terms{}, cb)
+}
 
 // Propose is Submit for a job with terms. The jobs that it waits for must have been
 // found in the store; since no record is ever removed, they are there for good.
-func (b *Book) Propose(id string, spec *Spec, terms *Terms, cb func(Answer)) {
-	q := b.ask(id, true, cb)
-	q.absent = func() { b.create(q, spec, terms) }
-	switch j := b.jobs[id]; {
+func (r *Registry) Propose(id string, spec *Spec, terms *Terms, cb func(Answer)) {
+	q := r.ask(id, true, cb)
+	q.absent = func() { r.create(q, spec, terms) }
+	switch j := r.jobs[id]; {
 	case j != nil && j.Final():
-		b.deliver(q, b.current(id, 200, WayFinal, 0))
-	case j != nil || b.bad[id]:
-		b.read(q)
+		r.deliver(q, r.current(id, 200, WayFinal, 0))
+	case j != nil || r.damaged[id]:
+		r.read(q)
 	default:
 		q.absent()
 	}
 }
 
 // create lets a job in line for its record, with all who submit it.
-func (b *Book) create(q *question, spec *Spec, terms *Terms) {
-	if c := b.creates[q.id]; c != nil {
+func (r *Registry) create(q *question, spec *Spec, terms *Terms) {
+	if c := r.creates[q.id]; c != nil {
 		c.questions = append(c.questions, q)
 		return
 	}
-	a := b.line.Ask(admission.Request{ID: q.id, Team: spec.Team, Class: spec.Class, Urgent: spec.Priority >= High}, b.r.Now(), b.r.Wall())
+	a := r.line.Ask(admission.Request{ID: q.id, Team: spec.Team, Class: spec.Class, Urgent: spec.Priority >= High}, r.runner.Now(), r.runner.Wall())
 	if a.Instead != "" {
-		b.putOff(a.Instead, a.After)
+		r.putOff(a.Instead, a.After)
 	}
 	if !a.Taken {
-		b.c.Meter.Submission("putOff")
-		b.deliver(q, Answer{Code: 429, ID: q.id, After: a.After, way: RefusedPutOff})
+		r.client.Meter.Submission("putOff")
+		r.deliver(q, Answer{Code: 429, ID: q.id, After: a.After, way: RefusedPutOff})
 		return
 	}
-	b.creates[q.id] = &creation{spec: spec, terms: terms.stored(), questions: []*question{q}, deadline: q.deadline}
-	b.pumpCreates()
+	r.creates[q.id] = &creation{spec: spec, terms: terms.stored(), questions: []*question{q}, deadline: q.deadline}
+	r.pumpCreates()
 }
 
 // putOff tells those who submitted a job to come back: its place goes to another.
-func (b *Book) putOff(id string, after int) {
-	b.c.Meter.Submission("putOff")
-	b.endCreate(id, Answer{Code: 429, ID: id, After: after, way: RefusedPutOff})
+func (r *Registry) putOff(id string, after int) {
+	r.client.Meter.Submission("putOff")
+	r.endCreate(id, Answer{Code: 429, ID: id, After: after, way: RefusedPutOff})
 }
 
 // endCreate tells all who submitted a job what came of it.
-func (b *Book) endCreate(id string, a Answer) {
-	c := b.creates[id]
+func (r *Registry) endCreate(id string, a Answer) {
+	c := r.creates[id]
 	if c == nil {
 		return
 	}
-	delete(b.creates, id)
+	delete(r.creates, id)
 	for i, q := range c.questions {
 		if i > 0 && a.Code == 201 {
 			a.Code = 200
 		}
-		b.deliver(q, a)
+		r.deliver(q, a)
 	}
 }
 
@@ -93,20 +95,20 @@
 	txn     wire.Txn
 }
 
-func (b *Book) nextBatch() createBatch {
+func (r *Registry) nextBatch() createBatch {
 	batch := createBatch{records: map[string]Record{}}
 	size := 0
-	for len(batch.records) < min(mostCreates, b.c.MostChanges()) && size <= createBytes {
-		next := b.line.Next(1)
+	for len(batch.records) < min(mostCreates, r.client.MostChanges()) && size <= createBytes {
+		next := r.line.Next(1)
 		if len(next) == 0 {
 			break
 		}
 		id := next[0].ID
-		c := b.creates[id]
+		c := r.creates[id]
 		if c == nil {
 			continue // given up
 		}
-		record := Record{Phase: Accepted, At: b.r.Wall(), Spec: c.spec, Terms: c.terms}
+		record := Record{Phase: Accepted, At: r.runner.Wall(), Spec: c.spec, Terms: c.terms}
 		size += keyBytes + len(wire.Marshal(record))
 		batch.turns = append(batch.turns, next[0])
 		batch.records[id] = record
@@ -117,76 +119,76 @@
 }
 
 // pumpCreates stores waiting submissions, several in one transaction.
-func (b *Book) pumpCreates() {
-	if b.creating {
+func (r *Registry) pumpCreates() {
+	if r.creating {
 		return
 	}
-	batch := b.nextBatch()
+	batch := r.nextBatch()
 	if len(batch.turns) == 0 {
 		return
 	}
-	b.creating = true
-	request := b.c.Next()
-	b.c.Txn(store.Answers, batch.txn, func(r store.Result) {
-		b.creating = false
-		b.createsEnded(&batch, r, request)
+	r.creating = true
+	request := r.client.Next()
+	r.client.Txn(store.Answers, batch.txn, func(result store.Result) {
+		r.creating = false
+		r.createsEnded(&batch, result, request)
 	})
 }
 
-func (b *Book) createsEnded(batch *createBatch, r store.Result, request store.Sequence) {
-	switch r.Outcome {
+func (r *Registry) createsEnded(batch *createBatch, result store.Result, request store.Sequence) {
+	switch result.Outcome {
 	case store.Applied:
-		b.line.Served(len(batch.turns), b.r.Now(), b.line.Waiting() > 0)
+		r.line.Served(len(batch.turns), r.runner.Now(), r.line.Waiting() > 0)
 		for _, turn := range batch.turns {
-			b.c.Meter.Submission("taken")
-			b.m.Apply(Keys+turn.ID, wire.Marshal(batch.records[turn.ID]), r.Tally, false)
-			b.endCreate(turn.ID, b.current(turn.ID, 201, WayStored, request))
+			r.client.Meter.Submission("taken")
+			r.mirror.Apply(Keys+turn.ID, wire.Marshal(batch.records[turn.ID]), result.Tally, false)
+			r.endCreate(turn.ID, r.current(turn.ID, 201, WayStored, request))
 		}
 	case store.Conflict:
-		b.createsConflicted(batch, r.Failed)
+		r.createsConflicted(batch, result.Failed)
 	case store.Refused:
 		// It cannot be taken now: its user is told at once when to come back.
 		for _, turn := range batch.turns {
-			b.endCreate(turn.ID, refusal(turn.ID, 503, RefusedState))
+			r.endCreate(turn.ID, refusal(turn.ID, 503, RefusedState))
 		}
 	default:
 		// Unknown: the same creation may be tried again, since it is
 		// conditioned on the job's absence.
-		b.line.Back(batch.turns)
-		b.r.After(createAgain, b.pumpCreates)
+		r.line.Back(batch.turns)
+		r.runner.After(createAgain, r.pumpCreates)
 		return
 	}
-	b.pumpCreates()
+	r.pumpCreates()
 }
 
 // createsConflicted reads the jobs that exist already, and lets the others wait again.
-func (b *Book) createsConflicted(batch *createBatch, failed []string) {
+func (r *Registry) createsConflicted(batch *createBatch, failed []string) {
 	exists := map[string]bool{}
 	for _, key := range failed {
 		exists[strings.TrimPrefix(key, Keys)] = true
 	}
 	for _, turn := range batch.turns {
-		c := b.creates[turn.ID]
+		c := r.creates[turn.ID]
 		switch {
 		case c == nil: // given up
 		case exists[turn.ID]:
-			delete(b.creates, turn.ID)
+			delete(r.creates, turn.ID)
 			for _, q := range c.questions {
-				b.read(q)
+				r.read(q)
 			}
 		default:
-			b.line.Back([]admission.Turn{turn})
+			r.line.Back([]admission.Turn{turn})
 		}
 	}
 }
 
 // expireCreates gives up the submissions that waited too long.
-func (b *Book) expireCreates(now loop.Micros) {
-	for id, c := range loop.Sorted(b.creates) {
+func (r *Registry) expireCreates(now loop.Micros) {
+	for id, c := range loop.Sorted(r.creates) {
 		if now >= c.deadline {
 			a := refusal(id, 503, RefusedExpired)
-			a.After = b.line.Drop(id, b.r.Wall())
-			b.endCreate(id, a)
+			a.After = r.line.Drop(id, r.runner.Wall())
+			r.endCreate(id, a)
 		}
 	}
 }
--- a/internal/node/explain.go
+++ b/internal/node/explain.go
@@ -42,8 +42,8 @@
 	}
 	x.desk = explain.NewDesk(l, explain.Node{
 		Label: n.cfg.Label,
-		Poll:  n.book.Poll,
-		Job:   n.book.Get,
+		Poll:  n.jobs.Poll,
+		Job:   n.jobs.Get,
 		Owner: owner,
 		Leader: func() string {
 			o, _ := n.member.Leader()
@@ -69,7 +69,7 @@
 		Counts:   n.counts,
 		Machines: n.machines,
 		Unheard:  n.unheard,
-		Book:     n.book,
+		Jobs:     n.jobs,
 		Cordons:  n.cordons,
 		Unseen:   n.unseen,
 		Desk:     x.desk,
@@ -92,7 +92,7 @@
 		return
 	}
 	for _, p := range all {
-		if j := n.book.Get(p.Job); p.Waits && j != nil && !j.Final() {
+		if j := n.jobs.Get(p.Job); p.Waits && j != nil && !j.Final() {
 			n.more.desk.Lines.Set(p.Job, p.Causes, p.At, own)
 			if own {
 				n.more.desk.Lines.Dated(p.Job, p.Causes) // for the peers, whom this goes to next
@@ -113,7 +113,7 @@
 		return
 	}
 	wall := n.loop.Wall()
-	n.book.Each(func(j *job.Job) {
+	n.jobs.Each(func(j *job.Job) {
 		if !j.Final() && j.Spec != nil && free[j.Spec.Team] {
 			c := n.progress[j.ID]
 			// What was told last holds as far as anybody knows: the next owner goes on with it.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -39,7 +39,7 @@
 	client   *store.Client
 	mirror   *store.Mirror
 	member   *member.Member
-	book     *job.Book
+	jobs     *job.Registry
 	cordons  *cordon.Book
 	agent    *agent.Agent
 	placer   *placer.Placer
@@ -114,12 +114,12 @@
 	n.mirror = store.NewMirror(n.client, out.Watch, member.Prefix)
 	n.member = member.New(l, n.client, n.mirror, log, member.Settings{Label: cfg.Label, Teams: cfg.TeamNames(), Controllers: nodes,
 		LeaseTTL: loop.Seconds(cfg.Operator.NodeLeaseS), TeamsOnly: !cfg.Operator.NumberedPartitions})
-	n.book = job.NewBook(l, n.client, n.mirror, log)
-	n.book.Admit(func(team string) float64 {
+	n.jobs = job.NewRegistry(l, n.client, n.mirror, log)
+	n.jobs.Admit(func(team string) float64 {
 		t, _ := cfg.TeamNamed(team)
 		return cfg.Quota(t).Weight
 	}, cfg.Cluster.State.WriteRPS*0.45/float64(nodes))
-	n.book.MostAsking(cfg.Cluster.Limits.MaxSockets / 5)
+	n.jobs.MostAsking(cfg.Cluster.Limits.MaxSockets / 5)
 	n.cordons = cordon.NewBook(l, n.client, n.mirror, log, cfg.ClockDifference())
 	n.net = peer.New(l, log, cfg.Label, cfg.Known)
 	n.reach = reach.New(l, log, cfg.Label, n.net.Peers(), cfg.ClockDifference())
@@ -138,7 +138,7 @@
 		Epoch:     n.member.Epoch,
 		Raise:     n.member.RaiseEpoch,
 		Type:      func(name string) (wire.MachineType, bool) { return n.rental.Type(name) },
-		Job:       n.book.Get,
+		Job:       n.jobs.Get,
 		Publish: func(news agent.News) {
 			n.net.All(func(e *peer.Envelope) {
 				e.Views = append(e.Views, news.Views...)
@@ -193,7 +193,7 @@
 		Claims: func(c []peer.Claim) {
 			n.net.All(func(e *peer.Envelope) { e.Claims = append(e.Claims, c...) })
 		},
-	}, n.book, n.agent, n.cordons)
+	}, n.jobs, n.agent, n.cordons)
 	n.rental = rental.New(l, log, cfg, n.client, n.mirror, out.Cloud, n.agent, rental.Node{
 		Close: func(host string, c peer.Close) {
 			n.at(host, func() { n.agent.Close(c.Machine, c.Until) }, func(e *peer.Envelope) { e.Closes = append(e.Closes, c) })
@@ -216,9 +216,9 @@
 		Probe: out.Probe,
 	})
 	n.rental.OnGone = n.placer.Gone
-	n.book.OnJob = func(j *job.Job) {
+	n.jobs.OnJob = func(j *job.Job) {
 		if j.Phase == job.Withdrawn {
-			n.horizon.Learn(horizon.Over{Job: j.ID, Mark: j.WithdrawnAt()})
+			n.horizon.Learn(horizon.Over{Job: j.ID, Mark: j.WithdrawnRevision()})
 		}
 		if j.Final() {
 			delete(n.progress, j.ID)
@@ -255,7 +255,7 @@
 		Ready:   n.ready,
 		Types:   n.rental.Types,
 		Foreign: n.member.Foreign,
-		Book:    n.book,
+		Jobs:    n.jobs,
 		Agent:   n.agent,
 		Counts:  n.counts,
 	})
@@ -314,7 +314,7 @@
 		n.rental.Tally(e.From, *e.Tally)
 	}
 	for _, p := range e.Progress {
-		if j := n.book.Get(p.Job); j == nil || !j.Final() {
+		if j := n.jobs.Get(p.Job); j == nil || !j.Final() {
 			n.progress[p.Job] = job.Counts{Done: p.Done, Running: p.Running}
 		}
 	}
@@ -322,7 +322,7 @@
 	if n.more != nil {
 		n.more.asks.Take(e)
 	}
-	n.book.LearnPlaces(e.Places)
+	n.jobs.LearnPlaces(e.Places)
 	n.placer.Learn(e.Usage)
 	n.placer.LearnClaims(e.Claims)
 }
@@ -360,7 +360,7 @@
 			s.Hears = append(s.Hears, label)
 		}
 	}
-	places := n.book.Places()
+	places := n.jobs.Places()
 	n.net.All(func(e *peer.Envelope) { e.Status, e.Places = s, places })
 	n.meter.Horizon(n.horizon.Look())
 	for _, label := range n.net.Peers() {
--- a/internal/node/stall.go
+++ b/internal/node/stall.go
@@ -9,6 +9,6 @@
 	loop.Stalls(n.loop).OnStall(func(s loop.Stall) {
 		n.log.Warn("the process stood still", "from_us", s.From, "took_us", s.To-s.From)
 		n.meter.Stall(s.To - s.From)
-		n.book.Expire()
+		n.jobs.Expire()
 	})
 }
--- a/internal/placer/explain.go
+++ b/internal/placer/explain.go
@@ -19,7 +19,7 @@
 // Facts gathers why the tasks of a job do not run. ok is false when its team is not
 // loaded here; the job then has no table.
 func (p *Placer) Facts(id string, types []wire.MachineType, contact bool) (f *explain.Facts, ok bool) {
-	j := p.book.Get(id)
+	j := p.registry.Get(id)
 	if j == nil || j.Spec == nil {
 		return nil, false
 	}
@@ -301,7 +301,7 @@
 func (p *Placer) stoppedFor(c peer.Claim) {
 	for _, name := range c.Victims {
 		id, _, ok := agent.SplitTask(name)
-		j := p.book.Get(id)
+		j := p.registry.Get(id)
 		if !ok || j == nil || j.Spec == nil {
 			continue
 		}
--- a/internal/placer/facts.go
+++ b/internal/placer/facts.go
@@ -34,7 +34,7 @@
 	out := make([]gate.Dep, len(j.Terms.After))
 	for i, id := range j.Terms.After {
 		out[i] = gate.Dep{ID: id, Waived: j.Terms.WaivedFrom(id)}
-		if o := p.book.Get(id); o != nil {
+		if o := p.registry.Get(id); o != nil {
 			out[i].Phase = o.Phase
 		}
 	}
@@ -74,7 +74,7 @@
 		if f := p.facts(t); f.MustWithdraw() {
 			t.amendAt = now + 2*loop.Second
 			p.log.Info("withdraws a job with one that it waits for", "job", t.j.ID)
-			p.book.Withdraw(t.j.ID, func(job.Answer) {})
+			p.registry.Withdraw(t.j.ID, func(job.Answer) {})
 			continue
 		}
 		if t.j.Terms.Hold.State != job.HoldSettling {
@@ -92,7 +92,7 @@
 		})
 		if sure {
 			t.amendAt = now + 2*loop.Second
-			p.book.Settle(t.j.ID, t.j.Mark, func(job.Answer) {})
+			p.registry.Settle(t.j.ID, t.j.Revision, func(job.Answer) {})
 		}
 	}
 }
--- a/internal/placer/load.go
+++ b/internal/placer/load.go
@@ -131,9 +131,9 @@
 			continue
 		}
 		for _, e := range s.rec.Jobs {
-			if p.book.Get(e.ID) == nil {
+			if p.registry.Get(e.ID) == nil {
 				known = false
-				p.book.Refresh(e.ID)
+				p.registry.Refresh(e.ID)
 			}
 		}
 	}
@@ -155,7 +155,7 @@
 			continue
 		}
 		for _, e := range s.rec.Jobs {
-			j := p.book.Get(e.ID)
+			j := p.registry.Get(e.ID)
 			if j == nil || j.Spec == nil || in[j.Spec.Team] {
 				continue
 			}
@@ -178,7 +178,7 @@
 			p.Job(t.j) // what is over is stopped, in an order that is always the same
 		}
 	}
-	p.book.Each(p.Job)
+	p.registry.Each(p.Job)
 	for _, tm := range teams {
 		if part.unreadable {
 			p.damage(tm)
@@ -200,7 +200,7 @@
 
 // damage keeps back what a team has accepted: nobody can tell what of it is on which machine.
 func (p *Placer) damage(tm *team) {
-	p.book.Each(func(j *job.Job) {
+	p.registry.Each(func(j *job.Job) {
 		if j.Spec != nil && j.Spec.Team == tm.cfg.Name && !j.Final() {
 			p.tableOf(tm, j).damaged = true
 		}
@@ -271,7 +271,7 @@
 
 // restoreJob gathers the newest entries of a job from a record.
 func (p *Placer) restoreJob(part *ownedPartition, s storedSegment, seg *segment, je jobEntry, newest map[ref]newestEntry) {
-	j := p.book.Get(je.ID)
+	j := p.registry.Get(je.ID)
 	if j.Phase == job.Done || j.Spec == nil {
 		return
 	}
--- a/internal/placer/logwrite.go
+++ b/internal/placer/logwrite.go
@@ -51,7 +51,7 @@
 			for _, k := range r.Failed {
 				if id, ok := strings.CutPrefix(k, job.Keys); ok {
 					known = true
-					p.book.Refresh(id)
+					p.registry.Refresh(id)
 				}
 				if k == cordon.Key {
 					known = true
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -58,14 +58,14 @@
 
 // Placer owns the tables of the owned teams.
 type Placer struct {
-	r       loop.Runner
-	c       *store.Client
-	log     *slog.Logger
-	cfg     *config.Config
-	n       Node
-	book    *job.Book
-	cordons *cordon.Book
-	agent   *agent.Agent
+	r        loop.Runner
+	c        *store.Client
+	log      *slog.Logger
+	cfg      *config.Config
+	n        Node
+	registry *job.Registry
+	cordons  *cordon.Book
+	agent    *agent.Agent
 	// partitions are those that this node owns, and teams what was assigned to them.
 	partitions map[partition.ID]*ownedPartition
 	teams      map[string]*team
@@ -93,11 +93,11 @@
 }
 
 // New makes the placer.
-func New(r loop.Runner, c *store.Client, log *slog.Logger, cfg *config.Config, n Node, book *job.Book, a *agent.Agent, cordons *cordon.Book) *Placer {
-	p := &Placer{r: r, cordons: cordons, c: c, log: log, cfg: cfg, n: n, book: book, agent: a, partitions: map[partition.ID]*ownedPartition{}, teams: map[string]*team{},
+func New(r loop.Runner, c *store.Client, log *slog.Logger, cfg *config.Config, n Node, registry *job.Registry, a *agent.Agent, cordons *cordon.Book) *Placer {
+	p := &Placer{r: r, cordons: cordons, c: c, log: log, cfg: cfg, n: n, registry: registry, agent: a, partitions: map[partition.ID]*ownedPartition{}, teams: map[string]*team{},
 		valueLimit: int(cfg.Cluster.State.ValueKB * 1024 * valuePart),
 		on:         map[string]*machineTasks{},
-		blame:      health.NewBlame(func(id string) bool { j := book.Get(id); return j != nil && !j.Final() }), zoneMemo: map[string]string{}, nonce: loop.Rand(r).Uint64() >> 1, usage: map[string]peer.Usage{},
+		blame:      health.NewBlame(func(id string) bool { j := registry.Get(id); return j != nil && !j.Final() }), zoneMemo: map[string]string{}, nonce: loop.Rand(r).Uint64() >> 1, usage: map[string]peer.Usage{},
 
 		checked: map[string]loop.Micros{}, paces: health.Paces{}, floor: floor.New()}
 	p.clock = delivery.NewClock(cfg.ClockDifference(), loop.Seconds(cfg.Operator.StartLifeS))
@@ -211,7 +211,7 @@
 	if !ok {
 		return
 	}
-	j := p.book.Get(id)
+	j := p.registry.Get(id)
 	if j == nil || j.Spec == nil {
 		return
 	}
@@ -297,10 +297,10 @@
 		switch r.Outcome {
 		case store.Applied:
 			p.log.Debug("job done", "job", t.j.ID, "class", t.j.Spec.Class, "tasks", t.j.Tasks, "took_us", p.r.Wall()-t.j.At, "estimate_us", t.j.Spec.Estimate)
-			p.book.Learn(ch, r.Tally)
+			p.registry.Learn(ch, r.Tally)
 			p.forgetTable(t)
 		case store.Conflict:
-			p.book.Refresh(t.j.ID)
+			p.registry.Refresh(t.j.ID)
 			p.r.After(250*loop.Millisecond, func() { p.finish(t) })
 		default:
 			p.r.After(150*loop.Millisecond, func() { p.finish(t) })
