Requests to the state service share its limits by weights of their kinds

Cause: the client served kinds of requests strictly in order, submissions before records, and a head that lacked changes held back everything behind it, also reads. And starts are composed only when Writable tells of changes, which told none while anything at all waited.

Mend: start-time fair queueing over the kinds, work-conserving; only the kind whose turn it is may change something, so that large transactions are not starved by small ones, and what needs no change passes. Writable asks for a kind.

--- a/internal/placer/groupcommit.go
+++ b/internal/placer/groupcommit.go
@@ -4,6 +4,7 @@
 	"cleatpick/internal/delivery"
 	"cleatpick/internal/job"
 	"cleatpick/internal/loop"
+	"cleatpick/internal/store"
 )
 
 // recordStart puts a chosen task in line for its record.
@@ -56,7 +57,7 @@
 	l.starts = p.due(l.starts, Recording)
 	l.starts = p.unbarred(l.starts)
 	l.outcomes = p.due(l.outcomes, Ended)
-	n := p.c.Writable()
+	n := p.c.Writable(store.Placements)
 	if len(l.starts)+len(l.outcomes) == 0 {
 		if l.inherits() && 2*n > p.c.Burst() {
 			p.store(part, p.compose(part, n, 0))
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -13,14 +13,14 @@
 	"cleatpick/internal/wire"
 )
 
-// Prio orders waiting requests; lower values go first.
+// Prio is the class of a request. Classes share what the limits allow by weights; see fairQueue.
 type Prio int
 
-// The order in which requests are let through.
+// The classes. Leases go before everything else.
 const (
 	Leases Prio = iota
 	Answers
-	Inquiries // what polls need: within a part of the requests that nothing else waits for
+	Inquiries // what polls need: within a part of the requests
 	Placements
 	Results
 	Background
@@ -71,7 +71,7 @@
 	reads    bucket
 	puts     bucket
 	asks     bucket // of the reads, what inquiries may take
-	queues   [prios][]request
+	queue    fairQueue
 	sequence Sequence // the newest number that was drawn
 	inFlight int
 	waking   bool
@@ -89,10 +89,8 @@
 
 const (
 	maxInFlight = 24
-	maxQueue    = 2000
-	// inquiryPart is the part of the requests that inquiries may take. They go before
-	// starts and outcomes, so that no poll is put off for ever, and are bounded, so that
-	// polls many times as often as usual take nothing from these.
+	// inquiryPart is the part of the requests that inquiries may take, so that polls many
+	// times as often as usual take nothing from starts and outcomes.
 	inquiryPart = 0.25
 )
 
@@ -115,20 +113,17 @@
 func (c *Client) Healthy(d loop.Micros) bool { return c.lastOK != 0 && c.r.Now()-c.lastOK < d }
 
 // Waiting is the number of requests queued here.
-func (c *Client) Waiting() int {
-	n := 0
-	for _, q := range c.queues {
-		n += len(q)
-	}
-	return n
-}
+func (c *Client) Waiting() int { return c.queue.all() }
 
-// Writable is how many puts could go out at once, with nothing waiting before them.
-func (c *Client) Writable() int {
+// Writable is how many puts of a class could go out at once: none where it is another's turn to change
+// something, or where requests of the class wait already.
+func (c *Client) Writable(p Prio) int {
 	now := c.r.Now()
-	c.reads.fill(now)
-	c.puts.fill(now)
-	if now < c.pauseTo || c.inFlight >= maxInFlight || c.reads.have < 1 || c.Waiting() > 0 {
+	c.fill(now)
+	if !c.open(now) || c.queue.waiting(p) > 0 {
+		return 0
+	}
+	if writer, waits := c.queue.writer(); waits && c.queue.start(writer) < c.queue.start(p) {
 		return 0
 	}
 	return int(c.puts.have)
@@ -139,7 +134,7 @@
 
 // Send queues a request; cb runs on the loop.
 func (c *Client) Send(p Prio, writes int, method, path string, body any, timeout loop.Micros, cb func(Response)) {
-	if p != Leases && c.Waiting() >= maxQueue {
+	if p != Leases && c.queue.waiting(p) >= maxQueue {
 		c.r.Post(func() { cb(Response{Err: errQueue}) })
 		return
 	}
@@ -147,45 +142,82 @@
 	if body != nil {
 		raw = wire.Marshal(body)
 	}
-	c.queues[p] = append(c.queues[p], request{p, writes, method, path, raw, timeout, cb})
+	c.queue.add(request{p, writes, method, path, raw, timeout, cb})
 	c.pump()
 }
 
-// pump sends what the limits allow now, and comes back when they allow more.
-func (c *Client) pump() {
-	now := c.r.Now()
+// fill takes in what the limits allow by now.
+func (c *Client) fill(now loop.Micros) {
 	c.reads.fill(now)
 	c.puts.fill(now)
 	c.asks.fill(now)
-	for p := Leases; p < prios; p++ {
-		for len(c.queues[p]) > 0 {
-			q := c.queues[p][0]
-			if p == Inquiries && c.asks.have < 1 {
-				c.wakeLater()
-				break
-			}
-			if p != Leases {
-				if now < c.pauseTo || c.inFlight >= maxInFlight || c.reads.have < 1 ||
-					(q.writes > 0 && c.puts.have < min(float64(q.writes), c.puts.burst)) {
-					c.wakeLater()
-					return
-				}
-			}
-			c.queues[p] = c.queues[p][1:]
-			c.reads.have--
-			if p == Inquiries {
-				c.asks.have--
-			}
-			c.puts.have -= float64(q.writes)
-			c.inFlight++
-			c.r.Go(func() {
-				resp := c.do.Do(q.method, q.path, q.body, loop.Duration(q.timeout))
-				c.r.Post(func() { c.finished(q, now, resp) })
-			})
+}
+
+// open tells whether anything but leases may be sent now.
+func (c *Client) open(now loop.Micros) bool {
+	return now >= c.pauseTo && c.inFlight < maxInFlight && c.reads.have >= 1
+}
+
+// pump sends what the limits allow now, and comes back when they allow more.
+func (c *Client) pump() {
+	now := c.r.Now()
+	c.fill(now)
+	for {
+		p, found := c.next(now)
+		if !found {
+			break
 		}
+		c.send(p, now)
+	}
+	if c.queue.all() > 0 {
+		c.wakeLater()
 	}
 }
 
+// next is the class whose request is to be sent now. A request that needs changes waits until they are
+// there and it is its turn; meanwhile those pass that need none.
+func (c *Client) next(now loop.Micros) (class Prio, found bool) {
+	if c.queue.waiting(Leases) > 0 {
+		return Leases, true
+	}
+	if !c.open(now) {
+		return 0, false
+	}
+	writer, writes := c.queue.writer()
+	return c.queue.least(func(p Prio, head *request) bool {
+		if p == Inquiries && c.asks.have < 1 {
+			return false
+		}
+		if head.writes == 0 {
+			return true
+		}
+		return writes && p == writer && c.puts.have >= min(float64(head.writes), c.puts.burst)
+	})
+}
+
+// cost is what a request takes of the limits, in changes.
+func (c *Client) cost(q *request) float64 {
+	if c.rps <= 0 {
+		return float64(q.writes)
+	}
+	return max(float64(q.writes), c.writeRPS/c.rps)
+}
+
+// send sends the next request of a class.
+func (c *Client) send(p Prio, now loop.Micros) {
+	q := c.queue.take(p, c.cost(c.queue.head(p)))
+	c.reads.have--
+	if p == Inquiries {
+		c.asks.have--
+	}
+	c.puts.have -= float64(q.writes)
+	c.inFlight++
+	c.r.Go(func() {
+		resp := c.do.Do(q.method, q.path, q.body, loop.Duration(q.timeout))
+		c.r.Post(func() { c.finished(q, now, resp) })
+	})
+}
+
 func (c *Client) wakeLater() {
 	if c.waking {
 		return
