Records, rental and blame follow what changed and not what waits

Mend: the line of records is gone through once the state service takes changes; a plan remembers for each shape how many machines are used up (checked against the plain rule); words against a machine are kept until something changes (checked against adding up anew).

--- a/internal/health/blame.go
+++ b/internal/health/blame.go
@@ -19,6 +19,8 @@
 	machines map[string]*accused
 	jobs     map[string]*accuser
 	live     func(id string) bool
+	// version rises with whatever may change what is known against any machine.
+	version uint64
 }
 
 // The thresholds.
@@ -46,6 +48,9 @@
 	words   map[string]word   // by job, since the last success on it
 	until   loop.Micros       // nothing is placed before
 	rests   int               // in a row
+	// against is the sum of the words at a version: a placement pass asks for it time and again.
+	against   int
+	againstAt uint64
 }
 
 // word is what a job's failures say against a machine: the tasks that failed there and
@@ -74,7 +79,7 @@
 // NewBlame makes an empty judgement. live tells whether a job is known and not over: what
 // machines still show of others is not kept, or every job ever run would be.
 func NewBlame(live func(id string) bool) *Blame {
-	return &Blame{machines: map[string]*accused{}, jobs: map[string]*accuser{}, live: live}
+	return &Blame{machines: map[string]*accused{}, jobs: map[string]*accuser{}, live: live, version: 1}
 }
 
 // View takes in a machine's newer view.
@@ -131,18 +136,25 @@
 // everything. A machine on which it failed before keeps that word against it.
 func (b *Blame) completed(machine, id, task string) {
 	if m := b.machines[machine]; m != nil {
-		clear(m.words)
+		if len(m.words) > 0 {
+			b.version++
+			clear(m.words)
+		}
 		m.rests = 0
 	}
 	if !b.live(id) {
 		return
 	}
 	j := b.job(id)
-	j.sound = true
-	clear(j.on)
+	if !j.sound || len(j.on) > 0 {
+		b.version++
+		j.sound = true
+		clear(j.on)
+	}
 	if was, ok := j.failed[task]; ok && was != machine {
 		if m := b.machines[was]; m != nil && m.words[id] != nil {
 			if _, stands := m.words[id][task]; stands {
+				b.version++
 				m.words[id][task] = true
 			}
 		}
@@ -170,6 +182,7 @@
 
 // accuse takes a failure for a word against its machine, where it is one.
 func (b *Blame) accuse(m *accused, machine, id, task string) {
+	b.version++
 	j := b.job(id)
 	if len(j.on) < mostFailed {
 		j.on[machine] = struct{}{}
@@ -207,7 +220,13 @@
 // AtFault tells whether a machine fails tasks that others would not.
 func (b *Blame) AtFault(machine string) bool {
 	m := b.machines[machine]
-	return m != nil && b.against(machine, m) >= enough
+	if m == nil {
+		return false
+	}
+	if m.againstAt != b.version {
+		m.against, m.againstAt = b.against(machine, m), b.version
+	}
+	return m.against >= enough
 }
 
 func (b *Blame) against(machine string, m *accused) (words int) {
@@ -261,6 +280,7 @@
 
 // Gone forgets a machine that was deleted.
 func (b *Blame) Gone(machine string) {
+	b.version++
 	delete(b.machines, machine)
 	for _, j := range b.jobs {
 		delete(j.on, machine)
@@ -279,6 +299,7 @@
 		}
 	}
 	delete(b.jobs, id)
+	b.version++
 }
 
 // Until is when something may be placed on the machine again.
--- a/internal/health/blame_test.go
+++ b/internal/health/blame_test.go
@@ -264,3 +264,35 @@
 		t.Errorf("in the end %d moments, by %v", tr.Moments, states)
 	}
 }
+
+// What is kept of the words against a machine is what adding them up anew tells, whatever happened.
+func TestWordsAgainstAreKeptCurrent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		over := map[string]bool{}
+		b := NewBlame(func(id string) bool { return !over[id] })
+		job := func() string { return fmt.Sprintf("job-%06d", rapid.IntRange(0, 4).Draw(t, "job")) }
+		attempt, now := uint64(0), loop.Second
+		for range rapid.IntRange(1, 60).Draw(t, "events") {
+			now += loop.Second
+			machine := fmt.Sprint("n-", rapid.IntRange(0, 3).Draw(t, "machine"))
+			switch rapid.IntRange(0, 9).Draw(t, "what") {
+			case 0:
+				b.Gone(machine)
+			case 1:
+				id := job()
+				over[id] = true
+				b.Over(id)
+			default:
+				attempt++
+				why := rapid.SampledFrom([]string{wire.WhyError, wire.WhyError, wire.WhyDone}).Draw(t, "why")
+				task := agent.Task{Task: agent.TaskName(job(), rapid.IntRange(0, 2).Draw(t, "task")), Attempt: attempt, State: wire.TaskExited, Why: why}
+				b.View(now, &agent.View{Name: machine, Tasks: []agent.Task{task}}, &agent.Changes{All: true})
+			}
+			for name, m := range b.machines {
+				if got, want := b.AtFault(name), b.against(name, m) >= enough; got != want {
+					t.Fatalf("%s is at fault: %v, by adding up anew %v", name, got, want)
+				}
+			}
+		}
+	})
+}
--- a/internal/placer/groupcommit.go
+++ b/internal/placer/groupcommit.go
@@ -47,6 +47,9 @@
 	})
 }
 
+// writableSoon is after how long the state service is looked at again that takes nothing now.
+const writableSoon = 15 * loop.Millisecond
+
 // commit stores what is due of a partition's teams, as far as the state service takes it
 // now. It tells after how long to try again, 0 when there is nothing to do.
 func (p *Placer) commit(part *ownedPartition) loop.Micros {
@@ -54,10 +57,13 @@
 	if l.busy || !part.loaded {
 		return 0 // its end asks again
 	}
+	n := p.c.Writable(store.Placements)
+	if n < 1 && len(l.starts)+len(l.outcomes) > 0 {
+		return writableSoon // before the lines are gone through, which may be long by then
+	}
 	l.starts = p.due(l.starts, Recording)
 	l.starts = p.unbarred(l.starts)
 	l.outcomes = p.due(l.outcomes, Ended)
-	n := p.c.Writable(store.Placements)
 	if len(l.starts)+len(l.outcomes) == 0 {
 		if l.inherits() && 2*n > p.c.Burst() {
 			p.store(part, p.compose(part, n, 0))
@@ -77,9 +83,6 @@
 			return 200 * loop.Millisecond
 		}
 	}
-	if n < 1 {
-		return 15 * loop.Millisecond
-	}
 	p.store(part, p.compose(part, n, ripe))
 	return 0
 }
--- /dev/null
+++ b/internal/rental/coming_test.go
@@ -0,0 +1,50 @@
+package rental
+
+import (
+	"slices"
+	"testing"
+
+	"cleatpick/internal/agent"
+	"cleatpick/internal/fleet"
+	"cleatpick/internal/gate"
+	"cleatpick/internal/job"
+
+	"pgregory.net/rapid"
+)
+
+// What requests take of the machines on their way, against the plain rule: each goes through all of
+// them, from the first on.
+func TestSupplyAgainstPlainRule(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var plain []*comingMachine
+		s := supply{used: map[fleet.Shape]int{}}
+		join := func() {
+			c := comingMachine{offer{"m", rapid.SampledFrom([]string{"x", "y"}).Draw(t, "zone"), rapid.Bool().Draw(t, "spot")}, agent.Room{CPUs: float64(rapid.IntRange(0, 8).Draw(t, "cpus")), MemoryGB: 16}}
+			again := c
+			plain = append(plain, &c)
+			s.machines = append(s.machines, &again)
+		}
+		for range rapid.IntRange(0, 6).Draw(t, "machines") {
+			join()
+		}
+		for range rapid.IntRange(1, 12).Draw(t, "requests") {
+			spec := &job.Spec{Tasks: 20, CPUs: float64(rapid.IntRange(1, 3).Draw(t, "each")), MemoryGB: float64(rapid.IntRange(1, 2).Draw(t, "memory")), AnyType: true,
+				Spot: rapid.Bool().Draw(t, "may be spot"), Zone: rapid.SampledFrom([]string{"", "x"}).Draw(t, "only zone"), Spread: rapid.Bool().Draw(t, "spread")}
+			count := rapid.IntRange(0, 6).Draw(t, "tasks")
+			one, two := &gate.Need{Spec: spec, Tasks: 20, Zones: map[string]int{}}, &gate.Need{Spec: spec, Tasks: 20, Zones: map[string]int{}}
+			left := count
+			for _, c := range plain {
+				left -= c.serve(one, left)
+			}
+			if got := s.serve(two, count); got != left {
+				t.Fatalf("%d of %d tasks are left, by the plain rule %d", got, count, left)
+			}
+			if rapid.Bool().Draw(t, "one more joins") {
+				join()
+			}
+		}
+		if !slices.EqualFunc(plain, s.machines, func(a, b *comingMachine) bool { return *a == *b }) {
+			t.Fatal("other rooms are taken than by the plain rule")
+		}
+	})
+}
--- a/internal/rental/order.go
+++ b/internal/rental/order.go
@@ -9,6 +9,7 @@
 	"strings"
 
 	"cleatpick/internal/agent"
+	"cleatpick/internal/fleet"
 	"cleatpick/internal/gate"
 	"cleatpick/internal/job"
 	"cleatpick/internal/loop"
@@ -74,17 +75,12 @@
 	return ok && room.Fits(s) && s.AllowsPlace(o.typ, o.zone, o.spot)
 }
 
-type coming struct {
-	offer offer
-	room  agent.Room
-}
-
 // expected lists the machines on their way, which serve requests already.
-func (t *Rental) expected() []*coming {
-	var out []*coming
+func (t *Rental) expected() []*comingMachine {
+	var out []*comingMachine
 	add := func(typ, zone string, spot bool) {
 		if x, ok := t.byName[typ]; ok && !t.cordoned(offer{typ, zone, spot}) {
-			out = append(out, &coming{offer{typ, zone, spot}, roomOf(x)})
+			out = append(out, &comingMachine{offer{typ, zone, spot}, roomOf(x)})
 		}
 	}
 	now := t.r.Now()
@@ -103,7 +99,7 @@
 			return
 		}
 		if room, ok := t.agent.Room(v, t.byName[m.typ]); ok {
-			out = append(out, &coming{offer{m.typ, m.zone, m.spot}, room})
+			out = append(out, &comingMachine{offer{m.typ, m.zone, m.spot}, room})
 		}
 	})
 	for _, o := range loop.Sorted(t.orders) {
@@ -121,18 +117,6 @@
 	return t.n.Cordoned != nil && t.n.Cordoned(o.typ, o.zone, o.spot)
 }
 
-func (c *coming) take(s *job.Spec, n int) int {
-	if !s.AllowsPlace(c.offer.typ, c.offer.zone, c.offer.spot) {
-		return 0
-	}
-	took := 0
-	for took < n && c.room.Fits(s) {
-		c.room.Take(s)
-		took++
-	}
-	return took
-}
-
 // planEvery is how long after misses that all machines on their way will serve they are
 // looked at again: owners tell theirs every 400 ms.
 const planEvery = 150 * loop.Millisecond
@@ -153,49 +137,43 @@
 	if !t.mayCall(now) || now < t.planAt {
 		return
 	}
-	supply := t.expected()
+	need := t.plan(now)
+	var keys []offer
+	for o := range need {
+		keys = append(keys, o)
+	}
+	sort.Slice(keys, func(i, j int) bool { return fmt.Sprint(keys[i]) < fmt.Sprint(keys[j]) })
+	if len(keys) > 0 {
+		most := slices.MaxFunc(keys, func(a, b offer) int { return need[a] - need[b] })
+		t.newOrder(most, min(need[most], 50))
+	} else {
+		t.planAt = now + planEvery
+	}
+}
+
+// plan tells how many machines of each offer are missing beside those on their way.
+func (t *Rental) plan(now loop.Micros) map[offer]int {
+	coming := supply{machines: t.expected(), used: map[fleet.Shape]int{}}
 	need := map[offer]int{}
 	for _, w := range t.wants() {
-		left, n := w.Count, needOf(&w)
-		take := func(c *coming) int {
-			got := c.take(n.Spec, n.Most(c.offer.zone, left))
-			if n.Zones != nil {
-				n.Zones[c.offer.zone] += got
-			}
-			left -= got
-			return got
-		}
-		for _, c := range supply {
-			if left == 0 {
-				break
-			}
-			take(c)
-		}
+		n := needOf(&w)
+		left := coming.serve(n, w.Count)
 		for left > 0 {
 			o, per, ok := t.cheapest(n, left, now, need)
 			if !ok {
 				break
 			}
 			need[o]++
-			x := t.byName[o.typ]
-			c := &coming{o, roomOf(x)}
-			if got := take(c); got == 0 || per == 0 {
+			c := &comingMachine{o, roomOf(t.byName[o.typ])}
+			got := c.serve(n, left)
+			if got == 0 || per == 0 {
 				break
 			}
-			supply = append(supply, c)
+			left -= got
+			coming.machines = append(coming.machines, c)
 		}
 	}
-	var keys []offer
-	for o := range need {
-		keys = append(keys, o)
-	}
-	sort.Slice(keys, func(i, j int) bool { return fmt.Sprint(keys[i]) < fmt.Sprint(keys[j]) })
-	if len(keys) > 0 {
-		most := slices.MaxFunc(keys, func(a, b offer) int { return need[a] - need[b] })
-		t.newOrder(most, min(need[most], 50))
-	} else {
-		t.planAt = now + planEvery
-	}
+	return need
 }
 
 // cheapest chooses what to rent for tasks of this shape: the lowest price for each
