Claims reach controllers that begin later, and machines that are heard later

Cause: claims were told once. A controller that began after that did not know them, and dropped those on machines that it had not heard yet.

Mend: whoever hears the first frame of a new life of a peer tells it the claims in force of its own jobs; a claim on a machine that was not heard waits for it.

--- a/internal/fleet/claims.go
+++ b/internal/fleet/claims.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 
@@ -10,11 +11,18 @@
 	"cleatpick/internal/wire"
 )
 
-// AddClaim keeps room on a machine for a job.
+// mostEarly bounds the claims that are kept for machines that were not heard yet.
+const mostEarly = 1000
+
+// AddClaim keeps room on a machine for a job. Where the machine was not heard yet, nothing is placed on
+// it, and the claim counts from when it is.
 func (f *Fleet) AddClaim(c peer.Claim) {
 	sl := f.slots[c.Machine]
 	if sl == nil {
-		return // nothing is placed here on a machine that was not heard
+		if len(f.early) < mostEarly {
+			f.early = append(f.early, c)
+		}
+		return
 	}
 	sl.Claims = append(sl.Claims, gate.Claim{Job: c.Job, Priority: c.Priority, Until: c.Until, Had: sl.tasksOf(c.Job),
 		Room: agent.Room{CPUs: c.CPUs, GPUs: c.GPUs, MemoryGB: c.MemoryGB}})
@@ -22,6 +30,37 @@
 	f.held[c.Job]++
 }
 
+// claimEarly keeps the room on a machine for which claims came before it was heard.
+func (f *Fleet) claimEarly(machine string) {
+	var here []peer.Claim
+	f.early = slices.DeleteFunc(f.early, func(c peer.Claim) bool {
+		if c.Machine == machine {
+			here = append(here, c)
+		}
+		return c.Machine == machine
+	})
+	for _, c := range here {
+		if f.r.Wall() < c.Until {
+			f.AddClaim(c)
+		}
+	}
+}
+
+// ClaimsOf lists the claims in force of the jobs for which own is true, for a peer that does not know them.
+func (f *Fleet) ClaimsOf(own func(job string) bool) (claims []peer.Claim) {
+	for sl := range f.claimed {
+		for _, c := range sl.Claims {
+			if own(c.Job) {
+				claims = append(claims, peer.Claim{Machine: sl.V.Name, Job: c.Job, Priority: c.Priority, CPUs: c.Room.CPUs, GPUs: c.Room.GPUs, MemoryGB: c.Room.MemoryGB, Until: c.Until})
+			}
+		}
+	}
+	slices.SortStableFunc(claims, func(a, b peer.Claim) int {
+		return cmp.Or(strings.Compare(a.Machine, b.Machine), strings.Compare(a.Job, b.Job), cmp.Compare(a.Until, b.Until))
+	})
+	return claims
+}
+
 func (f *Fleet) dropClaim(sl *Slot, i int) {
 	id := sl.Claims[i].Job
 	if f.held[id]--; f.held[id] <= 0 {
@@ -93,6 +132,7 @@
 // ExpireClaims ends the claims whose time is up.
 func (f *Fleet) ExpireClaims() {
 	wall := f.r.Wall()
+	f.early = slices.DeleteFunc(f.early, func(c peer.Claim) bool { return wall >= c.Until })
 	for sl := range f.claimed {
 		for i := len(sl.Claims) - 1; i >= 0; i-- {
 			if wall >= sl.Claims[i].Until {
@@ -105,6 +145,9 @@
 // Held is the number of claims of a job: room for so many tasks is being made.
 func (f *Fleet) Held(id string) int { return f.held[id] }
 
+// HeldJobs are the numbers of claims by job. The map is the fleet's own.
+func (f *Fleet) HeldJobs() map[string]int { return f.held }
+
 // Claimed tells whether room is kept on the machine for the job.
 func (sl *Slot) Claimed(id string) bool {
 	return slices.ContainsFunc(sl.Claims, func(c gate.Claim) bool { return c.Job == id })
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -16,6 +16,7 @@
 	"cleatpick/internal/health"
 	"cleatpick/internal/job"
 	"cleatpick/internal/loop"
+	"cleatpick/internal/peer"
 	"cleatpick/internal/wire"
 )
 
@@ -64,6 +65,7 @@
 	cordons uint64             // the version by which the slots were judged
 	claimed map[*Slot]struct{} // machines with claims
 	held    map[string]int     // claims by job
+	early   []peer.Claim       // on machines that were not heard yet
 	scratch []victim
 	stops   teamCPUs // stopped for one task, by team
 	free    []*Slot
@@ -98,7 +100,8 @@
 // View takes in a machine's newer view, and when it was heard; quiet: nothing on it has changed.
 func (f *Fleet) View(v *agent.View, heard loop.Micros, quiet bool) *Slot {
 	sl := f.slots[v.Name]
-	if sl == nil {
+	first := sl == nil
+	if first {
 		sl = &Slot{Runs: health.NewRuns()}
 		f.slots[v.Name] = sl
 		f.order = append(f.order, sl)
@@ -106,6 +109,9 @@
 		f.priced = 0
 	}
 	sl.V, sl.Heard = v, max(sl.Heard, heard)
+	if first {
+		f.claimEarly(v.Name)
+	}
 	if !quiet {
 		f.Touch(sl)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -237,6 +237,11 @@
 	n.member.OnReleased = n.placer.Released
 	n.member.OnLeader = n.rental.Lead
 	n.net.Receive = n.receive
+	n.net.NewLife = func(label string) {
+		if claims := n.placer.ClaimsInForce(); len(claims) > 0 {
+			n.net.To(label, func(e *peer.Envelope) { e.Claims = append(e.Claims, claims...) })
+		}
+	}
 	n.net.Up = func(label string) {
 		n.agent.Republish()
 		n.net.To(label, func(e *peer.Envelope) { e.Teams = cfg.TeamNames() })
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -62,6 +62,9 @@
 	Earlier func(label string)
 	// Receive is called on the loop for every frame of a known peer.
 	Receive func(*Envelope)
+	// NewLife is called on the loop after the first frame of a life of a peer's process: whatever this
+	// node told that peer before, the new life does not know. It may be nil.
+	NewLife func(label string)
 	// Refused is called on the loop when a peer's machine refuses the connection,
 	// which it does while no process listens there.
 	Refused func(label string)
@@ -162,11 +165,15 @@
 		}
 		return
 	}
+	begun := e.Life > k.life
 	k.life = max(k.life, e.Life)
 	if e.Status != nil && e.Status.Wall > k.Status.Wall {
 		k.Status, k.Heard = *e.Status, n.r.Now()
 	}
 	n.Receive(e)
+	if begun && n.NewLife != nil {
+		n.NewLife(e.From)
+	}
 }
 
 // send keeps a connection to a peer and writes what is queued. What cannot be
--- a/internal/placer/preempt.go
+++ b/internal/placer/preempt.go
@@ -31,6 +31,18 @@
 	}
 }
 
+// ClaimsInForce are the claims of the jobs that are owned here, for a peer that does not know them.
+func (p *Placer) ClaimsInForce() []peer.Claim {
+	return p.fleet.ClaimsOf(func(id string) bool {
+		j := p.registry.Get(id)
+		if j == nil || j.Spec == nil {
+			return false
+		}
+		tm := p.teams[j.Spec.Team]
+		return tm != nil && tm.loaded
+	})
+}
+
 // claimed keeps what room was made in mind, and has it told to the other owners.
 func (p *Placer) claimed(cs []peer.Claim) {
 	for i := range cs {
