A team gets its guarantee whatever its older jobs ask for; what waits longest goes on under a new owner

With jobs of thousands of tasks at the head of its line no job of a team fits into the guarantee beside the earlier ones, so none has a right to it. It was not the time after an owner ended: machines were 92% busy throughout, and two windows of 10 s in 380 s were below 70%. 2. Jobs that had begun kept their classes in turn as long as they had tasks left, and what a class got in the ordinary order counted for nothing; with a new owner all turns began anew, by name. Room that was held and came to nothing cost the class its turn (a gang 16 CPUs, 40 s of the floor), and a gang for which no room could be held kept all others from theirs. 3.

Mend: what has waited for 75 s in a team that lacks its guarantee for 5 s has room held, as far as others have borrowed it, and nothing is stopped for that. The floor gives turns to classes of jobs that have not begun, and one to all that have; it counts what goes in the ordinary order, for a bounded time; a new owner derives what classes got from the records; what came to nothing is refunded.

--- a/internal/fleet/hold.go
+++ b/internal/fleet/hold.go
@@ -44,11 +44,15 @@
 			}
 		}
 	}
-	// What is small goes where most is kept already, what is large where nothing is: each waits for
-	// what is kept beside it. Then where most is free, since the rest comes soonest.
+	// What is small goes where most is kept already, but not beside what is large, and what is large where
+	// nothing is: each waits for what is kept beside it. Then where most is free, since the rest comes
+	// soonest.
 	rank := func(sl *Slot) int {
-		if small*s.CPUs > sl.typ.CPUs {
+		switch {
+		case small*s.CPUs > sl.typ.CPUs:
 			return len(sl.Claims)
+		case slices.ContainsFunc(sl.Claims, func(c gate.Claim) bool { return small*c.Room.CPUs > sl.typ.CPUs }):
+			return 1
 		}
 		return -len(sl.Claims)
 	}
--- a/internal/floor/floor.go
+++ b/internal/floor/floor.go
@@ -22,6 +22,9 @@
 	Part = 0.08
 	// saved is for how long of that part may be saved up while nobody waits so long.
 	saved = 10 * loop.Second
+	// ahead is for how long of that part a class stands back at most for what it got in the ordinary
+	// order, or under an owner before.
+	ahead = 20 * loop.Second
 	// piece is the part of its waiting tasks that a job gets at a time; more of a job's
 	// class that wait as long share it.
 	piece = 8
@@ -49,7 +52,8 @@
 type Floor struct {
 	credit float64
 	at     loop.Micros
-	turns  map[string]float64 // CPUs given to each class, from where it came in
+	rate   float64            // CPUs a second that fall free, as last told
+	turns  map[string]float64 // CPUs that each class got, from where it came in
 	now    float64            // the turn of the class served last
 }
 
@@ -58,6 +62,7 @@
 
 // Earn lets the part grow; rate is how many CPUs a second fall free for this node's work.
 func (f *Floor) Earn(now loop.Micros, rate float64) {
+	f.rate = rate
 	if f.at != 0 {
 		f.credit += float64(now-f.at) / 1e6 * rate * Part
 	}
@@ -75,6 +80,41 @@
 	f.now = max(f.now, f.turns[class]-cpus)
 }
 
+// Serve takes in that so many CPUs went to a class in the ordinary order. The class gets its turn so
+// much the later, but for a bounded time: what is peculiar in a class that is served well, a job far
+// larger than the others, must not wait for ever.
+func (f *Floor) Serve(class string, cpus float64) {
+	if turn, waits := f.turns[class]; waits {
+		f.turns[class] = max(turn, min(turn+cpus, f.now+f.lead()))
+	}
+}
+
+// Restore takes in what a class got under an owner before, so that its turns go on.
+func (f *Floor) Restore(class string, cpus float64) {
+	if _, known := f.turns[class]; !known {
+		f.turns[class] = f.now + min(cpus, f.lead())
+	}
+}
+
+// Defer takes in that no room could be given or held for a class whose turn it was: the others go
+// first for a second's worth. A job for which there never is room would otherwise keep all from theirs.
+func (f *Floor) Defer(class string) {
+	if _, waits := f.turns[class]; waits {
+		f.turns[class] += f.rate*Part + 1e-3
+	}
+}
+
+// Refund takes in that room that was held for a class came to nothing: it has its turn again. What that
+// cost is not given anew.
+func (f *Floor) Refund(class string, cpus float64) {
+	if _, waits := f.turns[class]; waits {
+		f.turns[class] -= cpus
+	}
+}
+
+// lead is how far ahead a class may be by what it got in the ordinary order.
+func (f *Floor) lead() float64 { return float64(ahead)/1e6*f.rate*Part + 1 }
+
 // Pick tells who goes before its turn now, in this order. Credit may be overdrawn by one
 // piece, so that a task of any size gets its turn; it is made up for before the next.
 func (f *Floor) Pick(now loop.Micros, all []Waiter) (picks []Pick) {
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -47,6 +47,7 @@
 	commands  *prometheus.CounterVec
 	forgets   *prometheus.CounterVec
 	stops     prometheus.Counter
+	held      prometheus.Counter
 }
 
 // Seconds from a millisecond to an hour, and from a tenth of a millisecond to seconds.
@@ -108,6 +109,7 @@
 	m.commands = counters("commands_total", "Commands that left for workers, by operation and way.", "operation", "way")
 	m.forgets = counters("forgets_judged_total", "Judgements whether a worker may be told to forget an ended attempt: allowed, or why not yet.", "verdict")
 	m.stops = counter("preemptions_total", "Tasks that were asked to stop so that others have room.")
+	m.held = counter("held_total", "Tasks for which room was held, stopping nothing: the longest waiting, and those of a team that lacks its guarantee.")
 	m.reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -157,6 +159,13 @@
 	}
 }
 
+// Held counts tasks for which room was held without stopping anything.
+func (m *Meter) Held(tasks int) {
+	if m != nil {
+		m.held.Add(float64(tasks))
+	}
+}
+
 // EarlierFrame counts a frame that an earlier life of a peer had sent.
 func (m *Meter) EarlierFrame() {
 	if m != nil {
--- a/internal/placer/floor.go
+++ b/internal/placer/floor.go
@@ -30,11 +30,12 @@
 		if now-e.t.at < floor.After {
 			continue
 		}
+		p.refundHeld(e.t)
 		f := p.facts(e.t)
 		if n := min(f.Passes(gate.Probe), f.Passes(gate.Limit), e.t.waiting()); n > 0 {
 			s := e.t.j.Spec
 			late = append(late, e)
-			all = append(all, floor.Waiter{ID: e.t.j.ID, Class: s.Team + "\x00" + s.Class, At: e.t.at, Since: e.t.pieceAt, Tasks: n, CPUs: s.CPUs})
+			all = append(all, floor.Waiter{ID: e.t.j.ID, Class: e.t.floorClass(), At: e.t.at, Since: e.t.pieceAt, Tasks: n, CPUs: s.CPUs})
 		}
 	}
 	if len(all) == 0 {
@@ -54,7 +55,9 @@
 		if !t.j.Spec.Gang || p.gangFits(t) {
 			got = p.fill(t, n, open, chosen)
 		}
-		given := got - (held - p.fleet.Held(w.ID)) // what was held is paid for
+		used := held - p.fleet.Held(w.ID)
+		t.useHeld(used)
+		given := got - used // what was held is paid for
 		if got == 0 && held == 0 {
 			need := t.need()
 			if !t.j.Spec.Gang {
@@ -63,11 +66,76 @@
 			claims := p.fleet.Hold(&need, n, holdLife)
 			given = len(claims)
 			p.claimed(claims)
+			p.n.Meter.Held(given)
+			t.heldCPUs, t.heldFor = float64(given)*w.CPUs, w.Class
 			p.log.Debug("room held", "job", w.ID, "tasks", len(claims), "waits_us", now-w.At)
 		}
 		if given > 0 {
+			p.log.Debug("before its turn", "job", w.ID, "class", t.j.Spec.Class, "team", t.j.Spec.Team, "begun", w.Class == t.j.Spec.Team, "tasks", given, "of_cpus", w.CPUs, "waits_us", now-w.At)
 			p.floor.Spend(w.Class, float64(given)*w.CPUs)
+		} else if got == 0 && held == 0 {
+			p.floor.Defer(w.Class)
+			continue
 		}
 		t.pieceAt = now
 	}
 }
+
+// begun tells whether tasks of the job run, may run or are done.
+func (t *table) begun() bool { return t.inUse+t.completed > 0 }
+
+// floorClass names what has turns under the floor: each class of a team for its jobs that have not
+// begun, and all jobs of the team together that have. A job that has begun once kept those waiting that
+// had not, as long as it had tasks left.
+func (t *table) floorClass() string {
+	if t.begun() {
+		return t.j.Spec.Team
+	}
+	return t.j.Spec.Team + "\x00" + t.j.Spec.Class
+}
+
+// fillInTurn is fill in the ordinary order, which the floor takes into account.
+func (p *Placer) fillInTurn(t *table, n int, free []*fleet.Slot, chosen *[]hostStart) int {
+	held, class := p.fleet.Held(t.j.ID), t.floorClass()
+	got := p.fill(t, n, free, chosen)
+	used := held - p.fleet.Held(t.j.ID)
+	t.useHeld(used)
+	if new := got - used; new > 0 { // what was held is counted already
+		p.floor.Serve(class, float64(new)*t.j.Spec.CPUs)
+	}
+	return got
+}
+
+// useHeld takes in that so many tasks took room that was held for them.
+func (t *table) useHeld(tasks int) {
+	t.heldCPUs = max(t.heldCPUs-float64(tasks)*t.j.Spec.CPUs, 0)
+}
+
+// refundHeld gives a class its turn again where room was held before its turn and its time is over, but
+// did not come about: the work beside it ran for too long.
+func (p *Placer) refundHeld(t *table) {
+	if t.heldCPUs > 0 && p.fleet.Held(t.j.ID) == 0 {
+		p.floor.Refund(t.heldFor, t.heldCPUs)
+		t.heldCPUs = 0
+	}
+}
+
+// restoreTurns derives from the records of a team what its classes got under owners before, so that a
+// class that has got nothing yet does not stand behind the others anew with each owner.
+func (p *Placer) restoreTurns(tm *team) {
+	got := map[string]float64{}
+	for _, t := range tm.inOrder() {
+		if t.j.Final() || !t.begun() {
+			continue
+		}
+		first := 1
+		if t.j.Spec.Gang {
+			first = t.j.Tasks
+		}
+		got[t.j.Spec.Team+"\x00"+t.j.Spec.Class] += float64(first) * t.j.Spec.CPUs
+		got[t.floorClass()] += float64(t.inUse+t.completed) * t.j.Spec.CPUs
+	}
+	for class, cpus := range got {
+		p.floor.Restore(class, cpus)
+	}
+}
--- a/internal/placer/load.go
+++ b/internal/placer/load.go
@@ -183,6 +183,7 @@
 		if part.unreadable {
 			p.damage(tm)
 		}
+		p.restoreTurns(tm)
 		jobs += len(tm.jobs)
 		tasks += tm.inUse()
 	}
--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -93,7 +93,7 @@
 	open := p.fleet.Free()
 	stops := now >= p.pre.nextRun
 	hope := p.turn.Rate * p.share() * rentPatience
-	b := budget{left: mostStops, hope: p.turn.Rate * p.share(), vain: map[stopKey]bool{}}
+	b := budget{left: mostStops, hope: p.turn.Rate * p.share(), vain: map[stopKey]bool{}, unmet: map[*team]float64{}}
 	var chosen []hostStart
 	p.before(q, open, &chosen)
 	full := map[fleet.Shape]bool{} // nothing has room for tasks of this shape
@@ -111,7 +111,7 @@
 			if stops && !full[sh] && s.Priority >= job.High && !s.Gang {
 				p.goToImage(&e, n, open, &b)
 			}
-			got := p.fill(t, n, open, &chosen)
+			got := p.fillInTurn(t, n, open, &chosen)
 			probe -= got
 			if got < n && free && p.fleet.Held(t.j.ID) == 0 {
 				full[sh] = true
@@ -137,6 +137,7 @@
 			done := p.r.Now()
 			p.pre.nextRun = done + max(100*loop.Millisecond, 12*(done-now))
 		}
+		p.holdGuaranteed(&e, missed, &b)
 		// What turnover frees at once need not be rented.
 		if soon := int(min(hope, float64(missed)*s.CPUs) / max(s.CPUs, 0.001)); soon > 0 {
 			hope -= float64(soon) * s.CPUs
@@ -175,6 +176,8 @@
 	excess map[string]float64
 	shares map[*team]map[*table]float64
 	vain   map[stopKey]bool // nothing could be stopped for such jobs
+	// unmet is for how many CPUs of its guarantee room may still be held for each team.
+	unmet map[*team]float64
 }
 
 type stopKey struct {
--- a/internal/placer/table.go
+++ b/internal/placer/table.go
@@ -82,6 +82,8 @@
 	toldTimes int               // since they last changed
 	at        loop.Micros       // when it was accepted, by the steady clock
 	pieceAt   loop.Micros       // when it last got something before its turn; at, if it never did
+	heldCPUs  float64           // for which room is held before its turn that it has not taken
+	heldFor   string            // by the floor's class that paid for it
 	missing   loop.Micros       // since when tasks of it find no room; 0: none does
 	toldDone  int64
 	toldRun   int64
@@ -98,6 +100,7 @@
 	order    []*table // jobs in the order of their acceptance; nil: to be made anew
 	cpus     float64
 	gpus     float64
+	short    shortfall
 }
 
 // inUse is the number of its tasks that may be on machines.
--- a/internal/placer/tick.go
+++ b/internal/placer/tick.go
@@ -29,7 +29,9 @@
 		}
 		p.settle(tm)
 		use = append(use, peer.Usage{Team: tm.cfg.Name, CPUs: tm.cpus, GPUs: tm.gpus})
+		misses := false
 		for _, t := range tm.inOrder() {
+			misses = misses || t.missing != 0
 			d, run := int64(t.completed), int64(t.running)
 			news := d != t.toldDone || run != t.toldRun
 			if p.n.Tells && !t.j.Final() && p.newCauses(t, now-p.staleAfter(), wall) {
@@ -44,6 +46,7 @@
 				tell = append(tell, news)
 			}
 		}
+		p.followGuarantee(tm, misses, now)
 	}
 	if len(tell) > 0 {
 		p.n.Tell(tell)
