A job stops lower work within other guarantees for no more tasks than its share covers

Symptom: an urgent job larger than its team's guarantee stops 37 tasks within another guarantee for a share of 4 (TestOnePassStopsNoMoreThanTheShareCovers). Cause: the right was judged for one task before the pass, and held for all of it. Mend: the right carries for how many tasks it holds, less those for which room is being made.

--- a/internal/fleet/preempt.go
+++ b/internal/fleet/preempt.go
@@ -178,6 +178,7 @@
 		}
 		f.AddClaim(c)
 		claims = append(claims, c)
+		by.used(made)
 		if again, ok := f.optionOn(need, o.sl, now, by); ok {
 			all[0] = again
 			heap.Fix(&all, 0)
--- a/internal/fleet/right.go
+++ b/internal/fleet/right.go
@@ -18,6 +18,9 @@
 	// Room: the team runs less than its guarantee, by a task at least. With Share, the task may stop
 	// work of lower priority of any team.
 	Room bool
+	// ShareTasks and RoomTasks are for how many tasks of the job Share and Room hold: each is true of the
+	// first of them, and what is stopped for one leaves less to the next.
+	ShareTasks, RoomTasks int
 	// LowerOnly: nothing of the same priority or of a higher one is stopped.
 	LowerOnly bool
 	// Excess is what each team runs beyond its guarantee; negative: so much is left of it.
@@ -35,6 +38,12 @@
 	return r.Guarantee && borrowed && !sameTeam && !victim.Service && !r.LowerOnly
 }
 
+// used takes in for how many tasks of the job something was stopped since the right was judged.
+func (r *Right) used(tasks int) {
+	r.Share = r.Share && tasks < r.ShareTasks
+	r.Room = r.Room && tasks < r.RoomTasks
+}
+
 // anyExcess tells whether another team runs more than its guarantee.
 func (r *Right) anyExcess(team string) bool {
 	for name, x := range r.Excess {
--- a/internal/placer/preempt.go
+++ b/internal/placer/preempt.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"cleatpick/internal/fleet"
+	"cleatpick/internal/gate"
 	"cleatpick/internal/loop"
 	"cleatpick/internal/peer"
 )
@@ -84,11 +85,24 @@
 		b.shares[t.team] = shares
 	}
 	cpus := t.j.Spec.CPUs
-	share := shares[t]-float64(t.inUse)*cpus >= cpus
+	held := p.fleet.Held(t.j.ID) // room for these is being made already
+	share := tasksWithin(shares[t]-float64(t.inUse)*cpus, cpus) - held
 	// Two teams that both run beyond their guarantees must not stop each other's work in turn: only
 	// one that uses less than its guarantee may claim it.
 	room := t.team.quota.CPUs - t.team.cpus
-	return fleet.Right{Guarantee: e.within && room >= cpus, Share: share, Room: room >= cpus, Excess: b.excess}
+	return fleet.Right{Guarantee: e.within && room >= cpus, Share: share > 0, Room: room >= cpus,
+		ShareTasks: share, RoomTasks: tasksWithin(room, cpus) - held, Excess: b.excess}
+}
+
+// tasksWithin is how many tasks of so many CPUs each a part of a guarantee covers.
+func tasksWithin(part, each float64) int {
+	switch {
+	case part < each:
+		return 0
+	case each <= 0:
+		return gate.Everything
+	}
+	return int(part / each)
 }
 
 // shares divides the guarantee of an owned team among its unfinished jobs, by priority and then by
