--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"log/slog"
+	"slices"
 	"testing"
 
 	"cleatpick/internal/config"
@@ -32,3 +33,19 @@
 		t.Error("a frame of nobody known is taken in")
 	}
 }
+
+// Each life of a peer that is heard for the first time is told once, after its frame was taken in.
+func TestNewLivesAreTold(t *testing.T) {
+	const s = loop.Second
+	n := New(standin.NewStepped(100*s), slog.New(slog.NewTextHandler(io.Discard, nil)), "a", []config.Peer{{Label: "b"}})
+	n.ClockTo = 200 * loop.Millisecond
+	frames, told := 0, []int{}
+	n.Receive = func(*Envelope) { frames++ }
+	n.NewLife = func(string) { told = append(told, frames) }
+	for _, life := range []loop.Micros{10 * s, 10 * s, 20 * s, 10 * s, 20 * s, 30 * s, 30 * s} {
+		n.Take(&Envelope{From: "b", Life: life})
+	}
+	if !slices.Equal(told, []int{1, 3, 5}) {
+		t.Errorf("told after the frames %v, want the first, the third and the fifth that was taken in", told)
+	}
+}
