--- a/cmd/cleatpick/main.go
+++ b/cmd/cleatpick/main.go
@@ -14,7 +14,7 @@
 )
 
 // version is what --version prints.
-const version = "0.9.2"
+const version = "0.9.3"
 
 type cli struct {
 	Serve    serveCmd         `cmd:"" default:"withargs" help:"Run a controller (what happens without a command)."`
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -48,6 +48,7 @@
 	forgets   *prometheus.CounterVec
 	stops     prometheus.Counter
 	held      prometheus.Counter
+	takeovers prometheus.Histogram
 }
 
 // Seconds from a millisecond to an hour, and from a tenth of a millisecond to seconds.
@@ -110,6 +111,7 @@
 	m.forgets = counters("forgets_judged_total", "Judgements whether a worker may be told to forget an ended attempt: allowed, or why not yet.", "verdict")
 	m.stops = counter("preemptions_total", "Tasks that were asked to stop so that others have room.")
 	m.held = counter("held_total", "Tasks for which room was held, stopping nothing: the longest waiting, and those of a team that lacks its guarantee.")
+	m.takeovers = histogram("takeover_seconds", "From when a partition with work came to be owned here until a task of it was placed.", longBuckets)
 	m.reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -166,6 +168,13 @@
 	}
 }
 
+// Takeover counts the time until the first placement under a new owner.
+func (m *Meter) Takeover(took loop.Micros) {
+	if m != nil {
+		m.takeovers.Observe(seconds(took))
+	}
+}
+
 // EarlierFrame counts a frame that an earlier life of a peer had sent.
 func (m *Meter) EarlierFrame() {
 	if m != nil {
--- a/internal/placer/groupcommit.go
+++ b/internal/placer/groupcommit.go
@@ -9,11 +9,26 @@
 
 // recordStart puts a chosen task in line for its record.
 func (p *Placer) recordStart(t *table, i int) {
+	p.placedFirst(t.team.part)
 	l := &t.team.part.log
 	l.starts = append(l.starts, ref{t, i})
 	p.commitSoon(gather)
 }
 
+// placedFirst tells how long a partition waited for its first placement under this owner, where its
+// records showed that there was work before.
+func (p *Placer) placedFirst(part *ownedPartition) {
+	if part.ownedAt == 0 {
+		return
+	}
+	now := p.r.Now()
+	if len(part.log.closed) > 0 {
+		p.n.Meter.Takeover(now - part.ownedAt)
+		p.log.Info("first placement under a new owner", "partition", part.id, "claim", part.claim.Mark, "since_owned_us", now-part.ownedAt, "since_loaded_us", now-part.loadedAt)
+	}
+	part.ownedAt = 0
+}
+
 // recordOutcome puts an ended task in line. Its machine keeps the result, so this may wait.
 func (p *Placer) recordOutcome(t *table, i int) {
 	l := &t.team.part.log
--- a/internal/placer/load.go
+++ b/internal/placer/load.go
@@ -170,7 +170,7 @@
 // restored takes teams into service whose records have been read.
 func (p *Placer) restored(part *ownedPartition, teams []*team, segments []storedSegment) {
 	p.restore(part, segments)
-	part.loaded = true
+	part.loaded, part.loadedAt = true, p.r.Now()
 	jobs, tasks := 0, 0
 	for _, tm := range teams {
 		tm.loaded, tm.loadedAt = true, p.r.Wall()
--- a/internal/placer/partition.go
+++ b/internal/placer/partition.go
@@ -13,11 +13,14 @@
 // In the numbered layout a team takes part once it was assigned for good: no record of its
 // tasks is in the partition's log before, and nobody adds to the team's own log afterwards.
 type ownedPartition struct {
-	id     partition.ID
-	claim  member.Owner
-	loaded bool // its log has been read
-	teams  map[string]*team
-	log    taskLog
+	// ownedAt is when it came to be owned here; 0 once a task of it was placed since.
+	ownedAt  loop.Micros
+	loadedAt loop.Micros // when its log had been read
+	id       partition.ID
+	claim    member.Owner
+	loaded   bool // its log has been read
+	teams    map[string]*team
+	log      taskLog
 	// unreadable is set when a record of the log cannot be read: what its teams had accepted
 	// by then is not started on the account of it.
 	unreadable bool
@@ -47,7 +50,7 @@
 		p.disown(id)
 		return
 	}
-	part := &ownedPartition{id: id, claim: claim, teams: map[string]*team{}, unassigned: map[string]bool{},
+	part := &ownedPartition{id: id, claim: claim, ownedAt: p.r.Now(), teams: map[string]*team{}, unassigned: map[string]bool{},
 		log: taskLog{prefix: id.LogPrefix(), closed: map[string]*segment{}}}
 	p.partitions[id] = part
 	p.loadLog(part)
