--- a/internal/placer/guarantee.go
+++ b/internal/placer/guarantee.go
@@ -1,8 +1,8 @@
 package placer
 
 import (
-	"cleatpick/internal/floor"
 	"cleatpick/internal/loop"
+	"cleatpick/internal/starvation"
 )
 
 const (
@@ -64,7 +64,7 @@
 func (p *Placer) holdGuaranteed(e *entryOf, missed int, b *budget) {
 	t := e.t
 	now, cpus := p.r.Now(), t.j.Spec.CPUs
-	if e.within || cpus <= 0 || now-t.at < floor.After || !t.team.short.lacks {
+	if e.within || cpus <= 0 || now-t.at < starvation.After || !t.team.short.lacks {
 		return
 	}
 	unmet, known := b.unmet[t.team]
@@ -101,6 +101,6 @@
 	claims := p.fleet.Hold(&need, tasks, holdLife)
 	p.claimed(claims)
 	p.n.Meter.Held(len(claims))
-	p.floor.Serve(t.floorClass(), float64(len(claims))*t.j.Spec.CPUs)
+	p.reserve.Serve(t.turnClass(), float64(len(claims))*t.j.Spec.CPUs)
 	return len(claims)
 }
--- a/internal/placer/guarantee_test.go
+++ b/internal/placer/guarantee_test.go
@@ -134,10 +134,10 @@
 	if n := tm.jobs[begun].inUse; n != 4 {
 		t.Fatalf("%d tasks run, want 4", n)
 	}
-	if got := tm.jobs[begun].floorClass(); got != "red" {
+	if got := tm.jobs[begun].turnClass(); got != "red" {
 		t.Errorf("a job that has begun is of class %q", got)
 	}
-	if got := tm.jobs[waiting].floorClass(); got != "red\x00w" {
+	if got := tm.jobs[waiting].turnClass(); got != "red\x00w" {
 		t.Errorf("a job that has not begun is of class %q", got)
 	}
 	restored := map[string]float64{}
--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -95,7 +95,7 @@
 	hope := p.turn.Rate * p.share() * rentPatience
 	b := budget{left: mostStops, hope: p.turn.Rate * p.share(), vain: map[stopKey]bool{}, unmet: map[*team]float64{}}
 	var chosen []hostStart
-	p.before(q, open, &chosen)
+	p.serveLongestWaiting(q, open, &chosen)
 	full := map[fleet.Shape]bool{} // nothing has room for tasks of this shape
 	for _, e := range q {
 		t := e.t
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -8,7 +8,6 @@
 	"cleatpick/internal/cordon"
 	"cleatpick/internal/delivery"
 	"cleatpick/internal/fleet"
-	"cleatpick/internal/floor"
 	"cleatpick/internal/health"
 	"cleatpick/internal/job"
 	"cleatpick/internal/loop"
@@ -16,6 +15,7 @@
 	"cleatpick/internal/metric"
 	"cleatpick/internal/partition"
 	"cleatpick/internal/peer"
+	"cleatpick/internal/starvation"
 	"cleatpick/internal/store"
 	"cleatpick/internal/wire"
 )
@@ -83,7 +83,7 @@
 	usage      map[string]peer.Usage
 	pre        preemptor
 	turn       fleet.Turnover
-	floor      *floor.Floor
+	reserve    *starvation.Reserve
 	paces      health.Paces
 	checked    map[string]loop.Micros
 	reruns     reruns
@@ -99,7 +99,7 @@
 		on:         map[string]*machineTasks{},
 		blame:      health.NewBlame(func(id string) bool { j := registry.Get(id); return j != nil && !j.Final() }), zoneMemo: map[string]string{}, nonce: loop.Rand(r).Uint64() >> 1, usage: map[string]peer.Usage{},
 
-		checked: map[string]loop.Micros{}, paces: health.Paces{}, floor: floor.New()}
+		checked: map[string]loop.Micros{}, paces: health.Paces{}, reserve: starvation.New()}
 	p.clock = delivery.NewClock(cfg.ClockDifference(), loop.Seconds(cfg.Operator.StartLifeS))
 	p.expiries = delivery.NewExpiries(p.clock)
 	p.fleet = fleet.New(r, log, fleet.Node{Label: n.Label, Type: n.Type, Room: a.Room, Jobs: a.Jobs, Unshown: p.unshown, Stop: n.Stop,
--- a/internal/placer/table.go
+++ b/internal/placer/table.go
@@ -83,7 +83,7 @@
 	at        loop.Micros       // when it was accepted, by the steady clock
 	pieceAt   loop.Micros       // when it last got something before its turn; at, if it never did
 	heldCPUs  float64           // for which room is held before its turn that it has not taken
-	heldFor   string            // by the floor's class that paid for it
+	heldFor   string            // by the class in the reserve that paid for it
 	missing   loop.Micros       // since when tasks of it find no room; 0: none does
 	toldDone  int64
 	toldRun   int64
--- a/internal/placer/turns_test.go
+++ b/internal/placer/turns_test.go
@@ -5,21 +5,21 @@
 
 	"cleatpick/internal/agent"
 	"cleatpick/internal/config"
-	"cleatpick/internal/floor"
 	"cleatpick/internal/job"
 	"cleatpick/internal/loop"
 	"cleatpick/internal/peer"
+	"cleatpick/internal/starvation"
 	"cleatpick/internal/wire"
 )
 
-// firstClass tells which of two classes the floor serves first, both with a job that has waited as long.
+// firstClass tells which of two classes the reserve serves first, both with a job that has waited as long.
 func firstClass(g *rig, a, b string) string {
 	now := g.Now()
-	g.p.floor.Earn(now, 1000)
-	g.p.floor.Earn(now+loop.Second, 1000)
-	old := now - 2*floor.After
-	waiters := []floor.Waiter{{ID: "job-1", Class: a, At: old, Since: old, Tasks: 1, CPUs: 1}, {ID: "job-2", Class: b, At: old, Since: old, Tasks: 1, CPUs: 1}}
-	return waiters[g.p.floor.Pick(now, waiters)[0].At].Class
+	g.p.reserve.Earn(now, 1000)
+	g.p.reserve.Earn(now+loop.Second, 1000)
+	old := now - 2*starvation.After
+	waiters := []starvation.Waiter{{ID: "job-1", Class: a, At: old, Since: old, Tasks: 1, CPUs: 1}, {ID: "job-2", Class: b, At: old, Since: old, Tasks: 1, CPUs: 1}}
+	return waiters[g.p.reserve.Pick(now, waiters)[0].At].Class
 }
 
 // busyMachine shows a machine whose 8 CPUs are in use by somebody else.
@@ -39,7 +39,7 @@
 	g.show("n-001", "m8", "x", false)
 	g.Run(2 * loop.Second)
 	part := g.p.teams["red"].part
-	g.p.floor = floor.New() // as at a controller that begins
+	g.p.reserve = starvation.New() // as at a controller that begins
 	g.p.Owned(part.id, false, part.claim)
 	g.p.Owned(part.id, true, part.claim)
 	g.Run(2 * loop.Second)
@@ -95,9 +95,9 @@
 		used  int
 		first string
 	}{{0, "red\x00a"}, {4, "red\x00b"}} {
-		g.p.floor = floor.New()
+		g.p.reserve = starvation.New()
 		firstClass(g, "red\x00a", "red\x00b")
-		g.p.floor.Spend("red\x00a", 8)
+		g.p.reserve.Spend("red\x00a", 8)
 		x.heldCPUs, x.heldFor = 8, "red\x00a"
 		x.useHeld(c.used)
 		g.p.refundHeld(x)
--- a/internal/floor/floor.go
+++ b/internal/starvation/reserve.go
@@ -1,4 +1,4 @@
-// Package floor decides which waiting work goes before its turn, so that no class, no team
+// Package starvation decides which waiting work goes before its turn, so that no class, no team
 // without a guarantee and no job of any size waits without bound while others never stop
 // coming. It decides on facts that its caller hands it, and does nothing itself.
 //
@@ -6,7 +6,7 @@
 // these can go on for ever, and what comes after them would not begin at all. So a small
 // part of the room that falls free is given by another rule: of the jobs that have waited for
 // some time, the one goes first that has got nothing by it for longest, classes in turn.
-package floor
+package starvation
 
 import (
 	"cmp"
@@ -48,8 +48,8 @@
 	Tasks int
 }
 
-// Floor keeps what may be given before its turn, in CPUs, and the turns of the classes.
-type Floor struct {
+// Reserve keeps what may be given before its turn, in CPUs, and the turns of the classes.
+type Reserve struct {
 	credit float64
 	at     loop.Micros
 	rate   float64            // CPUs a second that fall free, as last told
@@ -57,69 +57,69 @@
 	now    float64            // the turn of the class served last
 }
 
-// New makes a floor that owes nothing.
-func New() *Floor { return &Floor{turns: map[string]float64{}} }
+// New makes a reserve that owes nothing.
+func New() *Reserve { return &Reserve{turns: map[string]float64{}} }
 
 // Earn lets the part grow; rate is how many CPUs a second fall free for this node's work.
-func (f *Floor) Earn(now loop.Micros, rate float64) {
-	f.rate = rate
-	if f.at != 0 {
-		f.credit += float64(now-f.at) / 1e6 * rate * Part
+func (r *Reserve) Earn(now loop.Micros, rate float64) {
+	r.rate = rate
+	if r.at != 0 {
+		r.credit += float64(now-r.at) / 1e6 * rate * Part
 	}
-	f.at = now
-	f.credit = min(f.credit, float64(saved)/1e6*rate*Part+1)
+	r.at = now
+	r.credit = min(r.credit, float64(saved)/1e6*rate*Part+1)
 }
 
 // Owes tells whether anything may be given before its turn now.
-func (f *Floor) Owes() bool { return f.credit > 0 }
+func (r *Reserve) Owes() bool { return r.credit > 0 }
 
 // Spend takes in that so many CPUs were given to a class before its turn, or are held for it.
-func (f *Floor) Spend(class string, cpus float64) {
-	f.credit -= cpus
-	f.turns[class] += cpus
-	f.now = max(f.now, f.turns[class]-cpus)
+func (r *Reserve) Spend(class string, cpus float64) {
+	r.credit -= cpus
+	r.turns[class] += cpus
+	r.now = max(r.now, r.turns[class]-cpus)
 }
 
 // Serve takes in that so many CPUs went to a class in the ordinary order. The class gets its turn so
 // much the later, but for a bounded time: what is peculiar in a class that is served well, a job far
 // larger than the others, must not wait for ever.
-func (f *Floor) Serve(class string, cpus float64) {
-	if turn, waits := f.turns[class]; waits {
-		f.turns[class] = max(turn, min(turn+cpus, f.now+f.lead()))
+func (r *Reserve) Serve(class string, cpus float64) {
+	if turn, waits := r.turns[class]; waits {
+		r.turns[class] = max(turn, min(turn+cpus, r.now+r.lead()))
 	}
 }
 
 // Restore takes in what a class got under an owner before, so that its turns go on.
-func (f *Floor) Restore(class string, cpus float64) {
-	if _, known := f.turns[class]; !known {
-		f.turns[class] = f.now + min(cpus, f.lead())
+func (r *Reserve) Restore(class string, cpus float64) {
+	if _, known := r.turns[class]; !known {
+		r.turns[class] = r.now + min(cpus, r.lead())
 	}
 }
 
 // Defer takes in that no room could be given or held for a class whose turn it was: the others go
 // first for a second's worth. A job for which there never is room would otherwise keep all from theirs.
-func (f *Floor) Defer(class string) {
-	if _, waits := f.turns[class]; waits {
-		f.turns[class] += f.rate*Part + 1e-3
+func (r *Reserve) Defer(class string) {
+	if _, waits := r.turns[class]; waits {
+		r.turns[class] += r.rate*Part + 1e-3
 	}
 }
 
 // Refund takes in that room that was held for a class came to nothing: it has its turn again. What that
 // cost is not given anew.
-func (f *Floor) Refund(class string, cpus float64) {
-	if _, waits := f.turns[class]; waits {
-		f.turns[class] -= cpus
+func (r *Reserve) Refund(class string, cpus float64) {
+	if _, waits := r.turns[class]; waits {
+		r.turns[class] -= cpus
 	}
 }
 
 // lead is how far ahead a class may be by what it got in the ordinary order.
-func (f *Floor) lead() float64 { return float64(ahead)/1e6*f.rate*Part + 1 }
+func (r *Reserve) lead() float64 { return float64(ahead)/1e6*r.rate*Part + 1 }
 
 // Pick tells who goes before its turn now, in this order. Credit may be overdrawn by one
 // piece, so that a task of any size gets its turn; it is made up for before the next.
-func (f *Floor) Pick(now loop.Micros, all []Waiter) (picks []Pick) {
-	left := f.credit
-	if !f.Owes() {
+func (r *Reserve) Pick(now loop.Micros, all []Waiter) (picks []Pick) {
+	left := r.credit
+	if !r.Owes() {
 		return nil
 	}
 	late := map[string][]int{} // of each class, who waits longest first
@@ -134,10 +134,10 @@
 		slices.SortFunc(line, func(a, b int) int {
 			return cmp.Or(cmp.Compare(all[a].Since, all[b].Since), cmp.Compare(all[a].ID, all[b].ID))
 		})
-		if t, ok := f.turns[class]; !ok || t < f.now {
-			f.turns[class] = f.now // what it did not need while it was away is not made up for
+		if t, ok := r.turns[class]; !ok || t < r.now {
+			r.turns[class] = r.now // what it did not need while it was away is not made up for
 		}
-		turns[class] = f.turns[class]
+		turns[class] = r.turns[class]
 	}
 	for left > 0 && len(picks) < most && len(late) > 0 {
 		class := ""
@@ -159,15 +159,15 @@
 		left -= float64(n) * w.CPUs
 		picks = append(picks, Pick{At: i, Tasks: n})
 	}
-	f.forget(turns)
+	r.forget(turns)
 	return picks
 }
 
 // forget drops the turns of classes that have none waiting and are behind the others.
-func (f *Floor) forget(kept map[string]float64) {
-	for class, t := range f.turns {
-		if _, ok := kept[class]; !ok && t <= f.now {
-			delete(f.turns, class)
+func (r *Reserve) forget(kept map[string]float64) {
+	for class, t := range r.turns {
+		if _, ok := kept[class]; !ok && t <= r.now {
+			delete(r.turns, class)
 		}
 	}
 }
--- a/internal/floor/floor_test.go
+++ b/internal/starvation/reserve_test.go
@@ -1,4 +1,4 @@
-package floor
+package starvation
 
 import (
 	"fmt"
--- a/internal/floor/turns_test.go
+++ b/internal/starvation/turns_test.go
@@ -1,4 +1,4 @@
-package floor
+package starvation
 
 import (
 	"testing"
@@ -6,8 +6,8 @@
 	"cleatpick/internal/loop"
 )
 
-// twoClasses is a floor of which two classes have a job that waits, and what tells which goes first.
-func twoClasses() (f *Floor, first func() string) {
+// twoClasses is a reserve of which two classes have a job that waits, and what tells which goes first.
+func twoClasses() (f *Reserve, first func() string) {
 	now := 1000 * loop.Second
 	f = New()
 	f.Earn(now, 100)
@@ -23,17 +23,17 @@
 func TestTurns(t *testing.T) {
 	for _, c := range []struct {
 		name   string
-		happen func(f *Floor)
+		happen func(f *Reserve)
 		first  string
 	}{
-		{"nothing", func(*Floor) {}, "a"},
-		{"a got something before its turn", func(f *Floor) { f.Spend("a", 2) }, "b"},
-		{"a got something in the ordinary order", func(f *Floor) { f.Serve("a", 2) }, "b"},
-		{"that came to nothing", func(f *Floor) { f.Spend("a", 2); f.Refund("a", 2) }, "a"},
-		{"no room could be held for a", func(f *Floor) { f.Defer("a") }, "b"},
-		{"for a, and then for b twice", func(f *Floor) { f.Defer("a"); f.Defer("b"); f.Defer("b") }, "a"},
-		{"a got much in the ordinary order, b more than what counts of that before its turn", func(f *Floor) { f.Serve("a", 1e6); f.Spend("b", 20*100*Part+2) }, "a"},
-		{"a got much in the ordinary order, b less than what counts of that", func(f *Floor) { f.Serve("a", 1e6); f.Spend("b", 20*100*Part-2) }, "b"},
+		{"nothing", func(*Reserve) {}, "a"},
+		{"a got something before its turn", func(f *Reserve) { f.Spend("a", 2) }, "b"},
+		{"a got something in the ordinary order", func(f *Reserve) { f.Serve("a", 2) }, "b"},
+		{"that came to nothing", func(f *Reserve) { f.Spend("a", 2); f.Refund("a", 2) }, "a"},
+		{"no room could be held for a", func(f *Reserve) { f.Defer("a") }, "b"},
+		{"for a, and then for b twice", func(f *Reserve) { f.Defer("a"); f.Defer("b"); f.Defer("b") }, "a"},
+		{"a got much in the ordinary order, b more than what counts of that before its turn", func(f *Reserve) { f.Serve("a", 1e6); f.Spend("b", 20*100*Part+2) }, "a"},
+		{"a got much in the ordinary order, b less than what counts of that", func(f *Reserve) { f.Serve("a", 1e6); f.Spend("b", 20*100*Part-2) }, "b"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			f, first := twoClasses()
