scheduler: log what a write of the task log moves and deletes, and count its outcomes

Four causes were possible:

After a write that the state service refused since a job had changed, entries that it was to move from another segment count as recorded in the open one, and their stored segment is deleted. Record: a write that changes one segment and deletes another, whose entries are in no segment then; before the crash. Log: a conflict, then a write with fewer entries than the refused one, and a deletion. 2. The next owner reads an incomplete log. Record: all entries stored at the crash; log: "partition loaded" names fewer tasks than the record holds. 3. A refused or unanswered write is applied late, over a newer one. Record: a segment changes twice to different contents, the second time without a request in flight; log: outcome unknown before it. 4. The stored records are complete, but the next owner takes running tasks for terminated. Record: complete; log of the new owner: tasks confirmed terminated.

The logs could not tell 1 from 3: they named neither what a write moves or deletes nor which condition failed, and gave the outcome as a number. Now they do, and a counter has the outcomes.

--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -50,6 +50,7 @@
 	preempted          prometheus.Counter
 	reserved           prometheus.Counter
 	takeovers          prometheus.Histogram
+	taskLogWrites      *prometheus.CounterVec
 }
 
 // Bucket bounds in seconds: from 10 ms to one hour, and from 0.1 ms to 2.5 s.
@@ -113,6 +114,7 @@
 	m.preempted = counter("preemptions_total", "Tasks preempted to free capacity for other jobs.")
 	m.reserved = counter("held_total", "Tasks for which capacity was reserved without preemption: those of the longest waiting jobs, and those of a team that does not have its guarantee.")
 	m.takeovers = histogram("takeover_seconds", "Time from when this controller became the owner of a partition with work until it placed a task of it.", longBuckets)
+	m.taskLogWrites = counters("task_log_writes_total", "Answers of the state service to writes of the task log, by outcome: after conflict and invalid the records are composed again, after refused and unknown the same record is sent again.", "outcome")
 	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -170,6 +172,13 @@
 	}
 }
 
+// TaskLogWrite records the outcome of one attempt to write the task log.
+func (m *Meter) TaskLogWrite(outcome string) {
+	if m != nil {
+		m.taskLogWrites.WithLabelValues(outcome).Inc()
+	}
+}
+
 // Takeover records the time from a change of a partition's owner until the first placement.
 func (m *Meter) Takeover(took eventloop.Micros) {
 	if m != nil {
--- a/internal/scheduler/logwrite.go
+++ b/internal/scheduler/logwrite.go
@@ -32,8 +32,9 @@
 			return
 		}
 		retry := func(d eventloop.Micros) { sched.runner.After(d, func() { sched.storeWrite(part, w) }) }
-		sched.log.Debug("task log write answered", "partition", part.id, "segment", key, "entries", len(w.refs), "jobs", len(w.jobs), "outcome", int(r.Outcome), "took_us", sched.runner.Now()-sent,
-			"starts_wait", len(part.log.starts), "outcomes_wait", len(part.log.outcomes), "segments", len(part.log.closed)+1)
+		sched.deps.Meter.TaskLogWrite(r.Outcome.String())
+		sched.log.Debug("task log write answered", "partition", part.id, "segment", key, "entries", len(w.refs), "moved", len(w.moves), "deletes", segmentKeys(w.emptied), "jobs", len(w.jobs),
+			"outcome", r.Outcome, "failed", r.FailedKeys, "took_us", sched.runner.Now()-sent, "starts_wait", len(part.log.starts), "outcomes_wait", len(part.log.outcomes), "segments", len(part.log.closed)+1)
 		switch r.Outcome {
 		case store.Applied:
 			w.segment.revision = r.Revision
@@ -74,6 +75,15 @@
 	})
 }
 
+// segmentKeys lists the keys of segments.
+func segmentKeys(segments []*segment) []string {
+	keys := make([]string, len(segments))
+	for i, s := range segments {
+		keys[i] = s.key
+	}
+	return keys
+}
+
 // requeueWrite queues the starts and outcomes of a write again whose record is certainly not stored.
 func (sched *Scheduler) requeueWrite(part *ownedPartition, w *write, after eventloop.Micros) {
 	for _, r := range w.refs {
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -45,6 +45,10 @@
 	Invalid                 // malformed, which is a bug in the caller, or too large for the service
 )
 
+func (o Outcome) String() string {
+	return [...]string{"applied", "conflict", "refused", "unknown", "no_lease", "invalid"}[o]
+}
+
 // Result is the result of a transaction.
 type Result struct {
 	Outcome    Outcome
