scheduler: a task's record moves to another segment only once that is stored

Cause: compose counted the entries that a write moves from a nearly empty segment as recorded in the open segment when the write was composed. The state service refused the write, since a job whose start it recorded had been cancelled meanwhile. requeueWrite queued the starts and outcomes again and left the other moved entries where they were not stored. The open segment was nearly full, so the next compose closed it without writing it, took the old segment for empty and deleted it in the same write.

Why this works: what is known of the log now changes in one place, recordStored, when the state service has confirmed the write. Composing changes nothing, so that no refusal, whatever its reason, leaves anything to be taken back; write.undo, which one of the refusals called, is gone. A segment is deleted by a write only if all its entries had been stored elsewhere before that write was composed, so a deletion that is applied late harms nothing either. The price: a segment is deleted one write later than its entries are moved.

TestRefusedWriteMovesNothing used write.undo; it now checks the same counts before the refusal as well, where it had allowed the entries to be counted in the segment that does not hold them.

--- a/internal/scheduler/groupcommit.go
+++ b/internal/scheduler/groupcommit.go
@@ -135,101 +135,110 @@
 	return sched.teams[tm.cfg.Name] == tm && tm.jobs[t.job.ID] == t && !t.job.Final()
 }
 
-// compose adds queued entries to the open segment and builds its record.
+// compose builds a write of the open segment with its live entries and as many queued ones as fit. Nothing that is
+// known of the log changes until the write is stored.
 func (sched *Scheduler) compose(part *ownedPartition, writable, ready int) *write {
 	l := &part.log
 	limit := sched.valueLimit
 	if l.open == nil || l.open.size+4*(entrySize+namesSize) > limit {
 		l.openSegment()
 	}
-	w := &write{segment: l.open}
+	sched.nonce++
+	w := newWrite(l.open, sched.nonce)
 	jobs := map[*jobTable]bool{}
 	jobLimit := sched.maxJobs() / 2
 	put := func(queue []taskRef, starts bool) []taskRef {
 		for k, r := range queue {
-			if (starts && k >= ready) || w.segment.size+entrySize+2*namesSize > limit || (starts && !jobs[r.table] && len(jobs) >= jobLimit) {
+			if (starts && k >= ready) || w.size+entrySize+2*namesSize > limit || (starts && !jobs[r.table] && len(jobs) >= jobLimit) {
 				return append(queue[:0], queue[k:]...)
 			}
 			if starts {
 				jobs[r.table] = true
 			}
-			w.move(r)
+			w.add(r)
 		}
 		return queue[:0]
 	}
 	l.starts = put(l.starts, true)
 	l.outcomes = put(l.outcomes, false)
-	// Live entries of nearly empty segments, and of teams' own logs, move to this segment so that the old ones can be
-	// deleted.
+	maxDeletions := min(writable-1, sched.client.MaxChanges()-1)
 	for _, s := range eventloop.Sorted(l.closed) {
-		if len(w.emptied) >= min(writable-1, sched.client.MaxChanges()-1) {
-			break
-		}
-		fits := w.segment.size+s.live*(entrySize+namesSize) < limit
-		if s.live > 0 && (4*s.live < len(s.refs) && fits || l.inherited(s)) {
-			w.moveLive(s, limit)
-		}
-		if s.live == 0 {
-			w.emptied = append(w.emptied, s)
+		switch {
+		case s.live > 0:
+			sched.moveSparse(l, w, s)
+		case len(w.deleted) < maxDeletions:
+			w.deleted = append(w.deleted, s)
 		}
 	}
 	sched.buildRecord(w)
 	return w
 }
 
-// maxJobs is the number of jobs whose revisions one transaction can check in addition to those of the claim, the
-// segment and the cordons.
-func (sched *Scheduler) maxJobs() int { return sched.client.MaxConditions() - 3 }
-
-// move makes the written segment hold a task's newest record.
-func (w *write) move(r taskRef) {
-	x, s := r.table.task(r.index), w.segment
-	if x.segment == s {
+// moveSparse adds the live entries of a closed segment to a write if the segment is nearly empty or belongs to a team's
+// own log. Once the write is stored, a later one deletes the segment.
+func (sched *Scheduler) moveSparse(l *taskLog, w *write, s *segment) {
+	fits := w.size+s.live*(entrySize+namesSize) < sched.valueLimit
+	if !(4*s.live < len(s.refs) && fits) && !l.inherited(s) {
 		return
 	}
-	w.moves = append(w.moves, move{r, x.segment})
-	if x.segment != nil {
-		x.segment.live--
-	} else {
-		s.size += namesSize // in case this is the first entry of its job
+	for _, r := range s.refs {
+		if w.size+entrySize+namesSize >= sched.valueLimit {
+			return
+		}
+		if r.table.task(r.index).segment == s {
+			w.add(r)
+		}
 	}
-	x.segment = s
-	s.live++
-	s.refs = append(s.refs, r)
-	s.size += entrySize + namesSize
 }
 
-// moveLive moves the live entries of a segment, as far as they fit.
-func (w *write) moveLive(s *segment, limit int) {
+// maxJobs is the number of jobs whose revisions one transaction can check in addition to those of the claim, the
+// segment and the cordons.
+func (sched *Scheduler) maxJobs() int { return sched.client.MaxConditions() - 3 }
+
+// newWrite returns a write of a segment with the segment's live entries. The nonce identifies it.
+func newWrite(s *segment, nonce uint64) *write {
+	w := &write{segment: s, rec: segmentRecord{Nonce: nonce}}
 	for _, r := range s.refs {
-		if w.segment.size+entrySize+namesSize >= limit {
-			return
-		}
 		if r.table.task(r.index).segment == s {
-			w.move(r)
+			// Otherwise the entry was recorded in a later segment, or its job is final and off all machines. While a
+			// task of a cancelled job may still run, its entry stays in the log: an owner that did not know of it
+			// would exceed the team's limit.
+			w.add(r)
 		}
 	}
+	w.size = s.size
+	return w
+}
+
+// add makes the write record a task, unless it does already.
+func (w *write) add(r taskRef) {
+	x := r.table.task(r.index)
+	if x.composedIn == w.rec.Nonce {
+		return
+	}
+	x.composedIn = w.rec.Nonce
+	w.entries = append(w.entries, r)
+	if x.segment == w.segment {
+		return
+	}
+	w.size += entrySize + namesSize
+	if x.segment == nil {
+		w.size += namesSize // in case this is the first entry of its job
+	} else {
+		w.moved++
+	}
 }
 
-// buildRecord builds the record of a write's segment. Its starts may be sent until they expire, a fixed time
+// buildRecord builds the record of a write's entries. Its starts may be sent until they expire, a fixed time
 // from now.
 func (sched *Scheduler) buildRecord(w *write) {
-	sched.nonce++
 	expiry := sched.runner.Wall() + eventloop.Seconds(sched.cfg.Operator.StartLifetimeS)
-	w.rec = segmentRecord{Nonce: sched.nonce, Machines: []machineEntry{}, Jobs: []jobEntry{}}
+	w.rec.Machines, w.rec.Jobs = []machineEntry{}, []jobEntry{}
 	machines, jobs := map[string]int{}, map[*jobTable]int{}
-	kept := w.segment.refs[:0]
 	size := 0
 	starts := map[*jobTable]bool{}
-	for _, r := range w.segment.refs {
+	for _, r := range w.entries {
 		x := r.table.task(r.index)
-		if x.segment != w.segment {
-			// The entry was recorded in a later segment, or its job is final and off all machines. While a task of a
-			// cancelled job may still run, its entry stays in the log: an owner that did not know of it would exceed
-			// the team's limit.
-			continue
-		}
-		kept = append(kept, r)
 		size += entrySize
 		e := taskEntry{Index: r.index, Attempt: x.attempt}
 		if x.state == Recording && !starts[r.table] && len(w.jobs) < sched.maxJobs() {
@@ -267,8 +276,7 @@
 		w.rec.Jobs[k].Tasks = append(w.rec.Jobs[k].Tasks, e)
 		w.refs = append(w.refs, refAttempt{r, e.Attempt, e.State})
 	}
-	clear(w.segment.refs[len(kept):])
-	w.segment.refs, w.segment.size, w.bytes = kept, size, size
+	w.bytes = size
 	// The conditions are fixed here and not at each retry: a hold or a cordon that is stored in the meantime must
 	// make the write fail, however late it is applied.
 	w.conditions = nil
--- a/internal/scheduler/jobtable.go
+++ b/internal/scheduler/jobtable.go
@@ -59,7 +59,8 @@
 	runningSince      eventloop.Micros // when it was first seen running
 	stopSentAt        eventloop.Micros // when a stop was last sent
 	lostSince         eventloop.Micros // time of the last report from its failed machine; 0: runs again, or its machine never failed
-	segment           *segment         // segment with its newest record; nil: never recorded
+	segment           *segment         // segment that holds its newest stored record; nil: none is stored
+	composedIn        uint64           // nonce of the newest write that was composed with it
 }
 
 // inUse reports whether the task counts against its team's limit.
--- a/internal/scheduler/logwrite.go
+++ b/internal/scheduler/logwrite.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"slices"
 	"strings"
 
 	"cleatpick/internal/cordon"
@@ -23,7 +22,7 @@
 	txn := wire.Txn{If: []wire.Cond{membership.ClaimCond(part.id, part.claim), {Key: key, Revision: w.segment.revision}},
 		Then: []wire.Change{{Put: key, Value: w.rec}}}
 	txn.If = append(txn.If, w.conditions...)
-	for _, s := range w.emptied {
+	for _, s := range w.deleted {
 		txn.Then = append(txn.Then, wire.Change{Delete: s.key})
 	}
 	sent := sched.runner.Now()
@@ -33,7 +32,7 @@
 		}
 		retry := func(d eventloop.Micros) { sched.runner.After(d, func() { sched.storeWrite(part, w) }) }
 		sched.deps.Meter.TaskLogWrite(r.Outcome.String())
-		sched.log.Debug("task log write answered", "partition", part.id, "segment", key, "entries", len(w.refs), "moved", len(w.moves), "deletes", segmentKeys(w.emptied), "jobs", len(w.jobs),
+		sched.log.Debug("task log write answered", "partition", part.id, "segment", key, "entries", len(w.refs), "moved", w.moved, "deletes", segmentKeys(w.deleted), "jobs", len(w.jobs),
 			"outcome", r.Outcome, "failed", r.FailedKeys, "took_us", sched.runner.Now()-sent, "starts_wait", len(part.log.starts), "outcomes_wait", len(part.log.outcomes), "segments", len(part.log.closed)+1)
 		switch r.Outcome {
 		case store.Applied:
@@ -130,9 +129,7 @@
 	l := &part.log
 	l.writing = false
 	l.outcomesSince = sched.runner.Now()
-	for _, s := range w.emptied {
-		delete(l.closed, s.key)
-	}
+	sched.recordStored(l, w)
 	for _, r := range w.refs {
 		if !sched.ownsJob(r.table) {
 			continue
@@ -155,19 +152,24 @@
 	sched.scheduleCommit(0)
 }
 
-// undo returns the tasks that the write moved to the segments that held them before.
-func (w *write) undo() {
-	for _, m := range w.moves {
-		x := m.table.task(m.index)
-		if x.segment != w.segment {
-			continue // its job ended in the meantime
+// recordStored makes what is known of the log follow a stored write. Of all that a write does, only this changes
+// which segment holds a task's newest record.
+func (sched *Scheduler) recordStored(l *taskLog, w *write) {
+	for _, s := range w.deleted {
+		delete(l.closed, s.key)
+	}
+	w.segment.refs, w.segment.size = w.entries, w.bytes
+	for _, r := range w.entries {
+		x := r.table.task(r.index)
+		if x.segment == w.segment || !sched.ownsJob(r.table) {
+			continue // its job became final meanwhile, and needs no record any more
 		}
-		w.segment.live--
-		if x.segment = m.from; m.from != nil {
-			m.from.live++
+		if x.segment != nil {
+			x.segment.live--
 		}
+		x.segment = w.segment
+		w.segment.live++
 	}
-	w.segment.refs = slices.DeleteFunc(w.segment.refs, func(r taskRef) bool { return r.table.task(r.index).segment != w.segment })
 }
 
 const (
@@ -185,7 +187,6 @@
 // was lowered: the entries go into smaller segments. Should an attempt of the refused write be applied late
 // nevertheless, it stores starts that were never sent.
 func (sched *Scheduler) shrinkSegments(part *ownedPartition, w *write) {
-	w.undo()
 	part.log.closeSegment()
 	pause := refusedRetryDelay
 	if sched.valueLimit > minValueLimit {
--- a/internal/scheduler/partition_test.go
+++ b/internal/scheduler/partition_test.go
@@ -230,8 +230,8 @@
 	}
 }
 
-// After a refused write, entries that it was to move remain in the segment in which they are stored, so that this
-// segment is kept, and starts that waited for the write wait again.
+// Entries that a write is to move count as recorded in the segment in which they are stored, until the write is stored
+// and also after it was refused, so that this segment is kept; starts that waited for the write wait again.
 func TestRefusedWriteMovesNothing(t *testing.T) {
 	g := partitionRig(100, 1, 4)
 	id := g.acceptJob(1, smallJob("team-000", 4))
@@ -243,16 +243,23 @@
 		t.Fatalf("the tasks' records are in segment %+v, want 4 live ones", old)
 	}
 	part.log.openSegment()
-	w := &write{segment: part.log.open, bytes: 3000}
-	w.move(taskRef{tb, 1})
-	w.move(taskRef{tb, 2})
-	if old.live != 2 || w.segment.live != 2 {
-		t.Fatalf("before the refusal %d and %d records are live, want 2 and 2", old.live, w.segment.live)
+	w := newWrite(part.log.open, 1)
+	w.add(taskRef{tb, 1})
+	w.add(taskRef{tb, 2})
+	g.scheduler.buildRecord(w)
+	w.bytes = 3000
+	check := func(when string) {
+		t.Helper()
+		if old.live != 4 || w.segment.live != 0 || len(w.segment.refs) != 0 || tb.task(1).segment != old || tb.task(2).segment != old {
+			t.Errorf("%s %d records are live in the stored segment and %d in the other one, want 4 and 0", when, old.live, w.segment.live)
+		}
 	}
-	g.scheduler.shrinkSegments(part, w)
-	if old.live != 4 || w.segment.live != 0 || len(w.segment.refs) != 0 || tb.task(1).segment != old || tb.task(2).segment != old {
-		t.Errorf("after the refusal %d records are live in the stored segment and %d in the refused one, want 4 and 0", old.live, w.segment.live)
+	if len(w.refs) != 2 || w.moved != 2 {
+		t.Fatalf("the write records %d tasks and moves %d, want 2 and 2", len(w.refs), w.moved)
 	}
+	check("before the refusal")
+	g.scheduler.shrinkSegments(part, w)
+	check("after the refusal")
 	if part.log.open != nil || g.scheduler.valueLimit >= 3000 {
 		t.Errorf("the next write goes into segment %+v with at most %d bytes, want a new segment below 3000 bytes", part.log.open, g.scheduler.valueLimit)
 	}
--- a/internal/scheduler/place_test.go
+++ b/internal/scheduler/place_test.go
@@ -8,6 +8,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -41,6 +42,9 @@
 	demand    peer.Demand
 	seq       uint64
 	onStop    func(workers.Stop) // may be nil
+	// onLogWrite handles a transaction on the log of onlyID in place of the state service if it returns a response; it may
+	// be nil.
+	onLogWrite func(body []byte) *store.Response
 }
 
 func (g *rig) Do(method, path string, body []byte, d time.Duration) store.Response {
@@ -49,6 +53,11 @@
 		if wire.Unmarshal(body, &t) == nil && len(t.Then) > 0 {
 			g.writes += len(t.Then)
 			g.txns++
+			if g.onLogWrite != nil && strings.HasPrefix(t.Then[0].Put, onlyID.LogPrefix()) {
+				if resp := g.onLogWrite(body); resp != nil {
+					return *resp
+				}
+			}
 		}
 	}
 	return g.state.Do(method, path, body, d)
--- a/internal/scheduler/tasklog.go
+++ b/internal/scheduler/tasklog.go
@@ -11,7 +11,10 @@
 // The state service accepts far fewer changes per second than tasks start and end. A partition's records therefore
 // form a log: one write stores everything that happened to any task of any of its teams since the previous write. The
 // log is a sequence of segments. The open one is rewritten with its new entries until it is full. A segment is
-// deleted, along with a write, once all its tasks are recorded later or belong to final jobs.
+// deleted, along with a write, once all its tasks are stored in later segments or belong to final jobs.
+//
+// What is known of the log changes only when the state service confirms a write, in recordStored. A write that was not
+// stored, for whatever reason, therefore leaves nothing to be taken back.
 //
 // An entry with a higher attempt supersedes one with a lower attempt, and of entries with the same attempt one that
 // records the end supersedes the others. The order in which segments are read therefore does not matter.
@@ -28,13 +31,13 @@
 
 func segmentKey(prefix string, no int) string { return fmt.Sprintf("%s%08d", prefix, no) }
 
-// segment is one part of a task log.
+// segment is one part of a task log, as it is stored.
 type segment struct {
 	key      string
-	revision uint64
-	refs     []taskRef // entries written to it; some are superseded in later segments
-	live     int       // tasks whose newest record is here
-	size     int       // upper bound on its encoded size in bytes
+	revision uint64    // 0: it was never stored
+	refs     []taskRef // entries of its stored record; some are superseded in later segments
+	live     int       // tasks whose newest stored record is here
+	size     int       // upper bound on the encoded size of its stored record in bytes
 }
 
 // taskLog is the log of an owned partition.
@@ -99,20 +102,15 @@
 	rec        segmentRecord
 	jobs       []*jobTable // jobs whose starts it records
 	conditions []wire.Cond // conditions on these, as known when the record was composed
-	emptied    []*segment
-	refs       []refAttempt // the attempts that it records
-	// moves lists the tasks whose newest record was elsewhere before.
-	moves []move
-	bytes int // upper bound on the size of the record
-}
-
-// move records which segment held a task's newest record before a write; from is nil if none did.
-type move struct {
-	taskRef
-	from *segment
+	deleted    []*segment  // segments without live entries, which it deletes
+	entries    []taskRef   // tasks that it records
+	moved      int         // how many of them another segment holds so far
+	size       int         // estimate of the size of the record while entries are added
+	refs       []refAttempt
+	bytes      int // upper bound on the size of the record
 }
 
-// refAttempt is a task with the recorded attempt and state.
+// refAttempt is a task with its attempt and state in a record.
 type refAttempt struct {
 	taskRef
 	attempt uint64
