node: the simulated clusters check that no segment of a task log is deleted with the only record of a task

A checker of its own reads the stored segments. Whenever a transaction deletes some, other stored segments must hold each of their tasks with the same attempt or a newer one, unless the next owner need not know the task. That is the precondition of a task that runs twice after a change of owner, which needs a crash at the right time besides.

--- a/internal/node/simulation_state_service_test.go
+++ b/internal/node/simulation_state_service_test.go
@@ -14,6 +14,7 @@
 	lateWrites  float64             // the share of transactions that get no answer and are executed late
 	lostAnswers float64             // the share of requests that are executed at once and get no answer
 	answerDelay [2]eventloop.Micros // the range of how long answers take; 0: no delay
+	slowShare   float64             // the share of all requests that are executed some hundred milliseconds later
 	// kinds counts the late transactions by the kind of the first key that they change, and tookEffect those of them
 	// that took effect.
 	kinds, tookEffect map[string]int
--- a/internal/node/simulation_test.go
+++ b/internal/node/simulation_test.go
@@ -96,6 +96,7 @@
 	// slowAnswerShare is the share of the answers to reports that arrive 0.2 to 3.5 s late.
 	slowAnswerShare float64
 	forgetsSent     int // number sent to workers that would execute them
+	segmentsDeleted int // number of segments of task logs that were deleted
 	// intensePollUntil is until when users poll intensely, see pollIntensely.
 	intensePollUntil eventloop.Micros
 	openQuestions    map[question]*openQuestion  // questions that a controller has not answered
@@ -251,7 +252,11 @@
 		do()
 		r.s.answerLag = 0
 	}
-	r.w.after(r.w.between(eventloop.Millisecond, 8*eventloop.Millisecond), func() {
+	delay := r.w.between(eventloop.Millisecond, 8*eventloop.Millisecond)
+	if share := r.w.stateFaults.slowShare; share > 0 && r.w.rng.Float64() < share {
+		delay = r.w.between(50*eventloop.Millisecond, 300*eventloop.Millisecond)
+	}
+	r.w.after(delay, func() {
 		if r.s.paused && r.s.alive && r.s.incarnation == r.incarnation && r.w.rng.IntN(2) == 0 {
 			f()
 			return
@@ -451,7 +456,7 @@
 	r := runner{w, s, s.incarnation, label}
 	state := stateLink{link{w, label + ">state", func(m, p string, b []byte) store.Response {
 		w.addToTrace(label+" asks the state service "+m+p, b)
-		resp := w.state.Do(m, p, b, 0)
+		resp := w.changeState(m, p, b)
 		s.requestExecuted(p, b)
 		return resp
 	}}, s}
--- a/internal/node/soak_test.go
+++ b/internal/node/soak_test.go
@@ -28,7 +28,9 @@
 		if r.IntN(2) == 0 {
 			c.Cluster.Workers.ReportS, c.Cluster.Workers.LeaseS, c.Cluster.Workers.CancelS = 3, 18, 40
 		}
+		c.Cluster.State.ValueKB = []float64{1, 2, 4, 16}[r.IntN(4)]
 	})
+	w.stateFaults.slowShare = []float64{0, 0, 0.05, 0.4}[r.IntN(4)]
 	for i := range jobs {
 		w.after(w.between(eventloop.Second, 120*eventloop.Second), func() {
 			j := w.makeJob(i)
