scheduler: a test plays every answer to a write of the task log that moves records

The rig now checks at every step, and not only at the next owner, that every task that runs is in a stored segment: records that were lost for a while may be stored again before an owner reads them.

--- a/internal/scheduler/tasklog_test.go
+++ b/internal/scheduler/tasklog_test.go
@@ -1,10 +1,12 @@
 package scheduler
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 	"testing"
 
+	"cleatpick/internal/cordon"
 	"cleatpick/internal/eventloop"
 	"cleatpick/internal/job"
 	"cleatpick/internal/store"
@@ -17,6 +19,7 @@
 	*rig
 	t     testing.TB
 	jobs  int             // number of jobs accepted
+	batch []string        // jobs that are no services
 	ended map[string]bool // jobs whose tasks are on no machine any more
 }
 
@@ -50,7 +53,11 @@
 	g.jobs++
 	s := smallJob(logTeam, tasks)
 	s.CPUs, s.MemoryGB, s.Service = 0.01, 0.01, service
-	return g.acceptJob(g.jobs, s)
+	id := g.acceptJob(g.jobs, s)
+	if !service {
+		g.batch = append(g.batch, id)
+	}
+	return id
 }
 
 // runJob accepts a job and waits until its tasks run.
@@ -72,11 +79,43 @@
 	})
 }
 
+// storedAttempts returns the newest attempt of each task in the stored segments.
+func (g *logRig) storedAttempts() map[string]uint64 {
+	newest := map[string]uint64{}
+	for _, key := range g.state.Keys(onlyID.LogPrefix()) {
+		raw, _ := g.state.Value(key)
+		var rec segmentRecord
+		if err := wire.Unmarshal(raw, &rec); err != nil {
+			g.t.Fatalf("segment %s: %v", key, err)
+		}
+		for _, j := range rec.Jobs {
+			for _, x := range j.Tasks {
+				name := workers.TaskName(j.ID, x.Index)
+				newest[name] = max(newest[name], x.Attempt)
+			}
+		}
+	}
+	return newest
+}
+
+// checkRecords fails if a task that was started and may run is in no stored segment.
+func (g *logRig) checkRecords() {
+	g.t.Helper()
+	stored := g.storedAttempts()
+	for _, s := range g.starts {
+		if id, _, _ := workers.SplitTask(s.Task); !g.ended[id] && stored[s.Task] < s.Attempt {
+			g.t.Fatalf("attempt %d of %s runs and is in no stored segment", s.Attempt, s.Task)
+		}
+	}
+}
+
 // pass lets time pass while the machines report what was started on them.
 func (g *logRig) pass(d eventloop.Micros) {
-	const interval = 500 * eventloop.Millisecond
+	g.t.Helper()
+	const interval = 100 * eventloop.Millisecond
 	for end := g.Now() + d; g.Now() < end; {
 		g.Advance(interval)
+		g.checkRecords()
 		on := map[string][]workers.Task{}
 		for _, s := range g.starts {
 			id, _, _ := workers.SplitTask(s.Task)
@@ -141,3 +180,101 @@
 	}
 	g.checkNextOwner()
 }
+
+// endBatch ends all jobs but the services, so that every segment becomes nearly empty, and runs others until they have
+// closed two more segments.
+func (g *logRig) endBatch() {
+	g.t.Helper()
+	for _, id := range g.batch {
+		if !g.ended[id] {
+			g.setPhase(id, job.Cancelled)
+			g.ended[id] = true
+		}
+	}
+	g.pass(12 * eventloop.Second)
+	for end := g.scheduler.partitions[onlyID].log.next + 2; g.scheduler.partitions[onlyID].log.next < end; {
+		g.runJob(20, false)
+	}
+}
+
+// Guards against tasks that run twice: whatever a write that moves records is answered, and whenever it is executed,
+// the records of running tasks stay in the log.
+func TestNoAnswerLosesRecords(t *testing.T) {
+	unanswered := &store.Response{Err: errors.New("no answer")}
+	tooLarge := &store.Response{Status: 400, Body: wire.Marshal(wire.TxnResult{Error: "value too large"})}
+	executeLate := func(delay eventloop.Micros) func(*logRig, int, []byte) *store.Response {
+		return func(g *logRig, attempt int, body []byte) *store.Response {
+			switch attempt {
+			case 1:
+				late := slices.Clone(body)
+				g.After(delay, func() { g.state.Do("POST", "/multi", late, 0) })
+				return unanswered
+			case 2:
+				return tooLarge
+			}
+			return nil
+		}
+	}
+	for _, c := range []struct {
+		name string
+		// answer handles an attempt of the first write, counted from 1, or of a later one.
+		answer func(g *logRig, attempt int, body []byte) *store.Response
+	}{
+		{"the cordons have changed", func(g *logRig, attempt int, _ []byte) *store.Response {
+			if attempt == 1 {
+				g.state.Put(cordon.Key, map[string]any{"format": 1})
+			}
+			return nil
+		}},
+		{"refused", func(_ *logRig, attempt int, _ []byte) *store.Response {
+			if attempt <= 3 {
+				return &store.Response{Status: 503}
+			}
+			return nil
+		}},
+		{"too large", func(_ *logRig, attempt int, _ []byte) *store.Response {
+			if attempt == 1 {
+				return tooLarge
+			}
+			return nil
+		}},
+		{"executed without an answer", func(g *logRig, attempt int, body []byte) *store.Response {
+			if attempt == 1 {
+				g.state.Do("POST", "/multi", body, 0)
+				return unanswered
+			}
+			return nil
+		}},
+		{"executed twice without an answer", func(g *logRig, attempt int, body []byte) *store.Response {
+			if attempt <= 2 {
+				g.state.Do("POST", "/multi", body, 0)
+				return unanswered
+			}
+			return nil
+		}},
+		{"not executed and without an answer", func(_ *logRig, attempt int, _ []byte) *store.Response {
+			if attempt <= 2 {
+				return unanswered
+			}
+			return nil
+		}},
+		{"too large, and an earlier attempt is executed before the next write", executeLate(250 * eventloop.Millisecond)},
+		{"too large, and an earlier attempt is executed after the next write", executeLate(3 * eventloop.Second)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := newLogRig(t)
+			attempts := 0
+			g.onLogWrite = func(body []byte) *store.Response {
+				attempts++
+				return c.answer(g, attempts, body)
+			}
+			g.runJob(1, false)
+			if attempts < 2 {
+				t.Fatal("no write was attempted again, so the test is not meaningful")
+			}
+			g.pass(4 * eventloop.Second)
+			g.endBatch()
+			g.checkNextOwner()
+		})
+	}
+}
