scheduler: of two records of the same start, the next owner takes the one that expires later

What callers could see: a task that runs twice. Suspected from the code and shown by the test; not seen in a run.

Cause: a write of the task log that got no answer is sent again; if the service then refuses it as too large, its starts are recorded anew in another segment, with a later expiry. The unanswered attempt may still be executed, so that two segments hold the same start. The next owner kept the one that it read first, which expires earlier, and could take the start for impossible while a host controller still passed it on.

Evidence: TestLaterExpiryOfAnAttemptHolds failed before: "the next owner takes the start for expired 350002 us before it expires".

Why this works: the order of entries is now total over attempt, state and expiry, whatever the order in which the segments are read.

--- a/internal/scheduler/load.go
+++ b/internal/scheduler/load.go
@@ -218,9 +218,17 @@
 	machine machineEntry
 }
 
-// supersedes reports whether b is at least as new as the entry e.
+// supersedes reports whether b is at least as new as the entry e. Of two records of the same start, the one that expires
+// later counts.
 func (b *newestEntry) supersedes(e *taskEntry) bool {
-	return e.Attempt < b.Attempt || (e.Attempt == b.Attempt && e.State <= b.State)
+	switch {
+	case e.Attempt != b.Attempt:
+		return e.Attempt < b.Attempt
+	case e.State != b.State:
+		return e.State < b.State
+	default:
+		return e.Expiry <= b.Expiry
+	}
 }
 
 // restore builds the tables of a partition's teams from their records.
--- a/internal/scheduler/tasklog.go
+++ b/internal/scheduler/tasklog.go
@@ -17,7 +17,8 @@
 // stored, for whatever reason, therefore leaves nothing to be taken back.
 //
 // An entry with a higher attempt supersedes one with a lower attempt, and of entries with the same attempt one that
-// records the end supersedes the others. The order in which segments are read therefore does not matter.
+// records the end supersedes the others. Of two that record the same start, the one that expires later does. The order
+// in which segments are read therefore does not matter.
 
 const (
 	// outcomeMinDelay is how long outcomes wait at least before they cause a separate write, while the write limit is
--- a/internal/scheduler/tasklog_test.go
+++ b/internal/scheduler/tasklog_test.go
@@ -278,3 +278,31 @@
 		})
 	}
 }
+
+// Guards against tasks that run twice: if a start is recorded twice, since a write that was refused is executed late
+// nevertheless, the next owner has to wait until the later of the two expires.
+func TestLaterExpiryOfAnAttemptHolds(t *testing.T) {
+	g := newLogRig(t)
+	attempts := 0
+	g.onLogWrite = func(body []byte) *store.Response {
+		if attempts++; attempts > 2 {
+			return nil
+		}
+		if attempts == 2 {
+			return &store.Response{Status: 400, Body: wire.Marshal(wire.TxnResult{Error: "value too large"})}
+		}
+		late := slices.Clone(body)
+		g.After(eventloop.Second, func() { g.state.Do("POST", "/multi", late, 0) })
+		return &store.Response{Err: errors.New("no answer")}
+	}
+	id := g.runJob(1, false)
+	sent := g.starts[len(g.starts)-1]
+	g.acquirePartition()
+	x := g.scheduler.teams[logTeam].jobs[id].task(0)
+	if x.state != Placed || x.attempt != sent.Attempt {
+		t.Fatalf("the next owner has the task in state %d and attempt %d, want placed and attempt %d", x.state, x.attempt, sent.Attempt)
+	}
+	if x.expiry < sent.Expiry {
+		t.Errorf("the next owner takes the start for expired %v us before it expires", sent.Expiry-x.expiry)
+	}
+}
