membership: a registration that is executed late is replaced

What callers could see: a controller that counts as isolated although it reaches its peers, or the other way round, until its isolation changes the next time. With all others isolated the leader then takes no partition over, or with one it does (AllIsolated).

Cause: the controller kept what it had registered last in registeredIsolated, set when a registration was confirmed. A registration without an answer may be executed after a newer one, since it has no condition, and memory went on believing in the newer one.

Evidence: TestLateRegistrationIsReplaced failed before: "the late registration was not replaced: a counts as isolated although it reaches its peers".

Why this works: the controller compares its isolation with the stored registration, which the mirror follows, as it did with the lease already. There is no second copy that could differ.

--- a/internal/membership/claims.go
+++ b/internal/membership/claims.go
@@ -93,7 +93,7 @@
 	}
 	now := m.runner.Now()
 	isolated := m.Isolated != nil && len(m.nodes) > 1 && m.Isolated()
-	if isolated != m.registeredIsolated || m.nodes[m.Label].Lease != m.lease {
+	if stored := m.nodes[m.Label]; stored.Isolated != isolated || stored.Lease != m.lease {
 		m.register(m.lease, isolated)
 	}
 	leaderOwnsAll := isolated && m.AllIsolated()
--- a/internal/membership/lease.go
+++ b/internal/membership/lease.go
@@ -60,9 +60,9 @@
 }
 
 // register stores this controller's registration and whether it is isolated. It is called
-// again when the stored record is not this incarnation's: a registration sent by an earlier
-// incarnation may be applied late, replace this one and vanish with the earlier lease, which
-// would leave a running controller unregistered.
+// again when the stored record is another one: a registration that was sent earlier may be
+// applied late and replace this one. One of an earlier incarnation would then vanish with the
+// earlier lease, which would leave a running controller unregistered.
 func (m *Member) register(lease uint64, alone bool) {
 	if m.lease != lease || m.registering {
 		return
@@ -76,7 +76,6 @@
 		case r.Outcome == store.NoLease:
 			m.leaseLost()
 		case r.Outcome == store.Applied:
-			m.registeredIsolated = alone
 			m.mirror.Apply(nodeKeys+m.Label, wire.Marshal(rec), r.Revision, false)
 			if m.state == AwaitingEpoch {
 				m.setState(Active)
@@ -160,7 +159,7 @@
 		m.leaseLosses = 0
 	}
 	m.leaseLosses++
-	m.lease, m.leaseUntil, m.registeredIsolated = 0, 0, false
+	m.lease, m.leaseUntil = 0, 0
 	for key := range eventloop.Sorted(m.owned) {
 		m.drop(key)
 	}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -103,13 +103,12 @@
 	// OnLeader is called when this controller gains or loses the leadership.
 	OnLeader func(leads bool, claim Owner)
 	// Isolated reports whether no peer is reachable although the state service is.
-	Isolated           func() bool
-	owned              map[string]Owner
-	nodes              map[string]nodeRecord
-	handedOverAt       eventloop.Micros // when owned keys were last handed over
-	registeredIsolated bool             // the isolation that is registered; the state service is the only way to publish it
-	registering        bool             // a registration is under way
-	evicted            map[string]eventloop.Micros
+	Isolated     func() bool
+	owned        map[string]Owner
+	nodes        map[string]nodeRecord
+	handedOverAt eventloop.Micros // when owned keys were last handed over
+	registering  bool             // a registration is under way
+	evicted      map[string]eventloop.Micros
 	// Fit reports whether another controller may be given work, PartlyDisconnected whether
 	// the connection between this one and a controller that others reach is broken, and
 	// Weight returns how much work a partition brings. All may be nil.
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -1,8 +1,11 @@
 package membership
 
 import (
+	"bytes"
+	"errors"
 	"io"
 	"log/slog"
+	"slices"
 	"testing"
 	"time"
 
@@ -19,6 +22,9 @@
 	state     *fake.StateService
 	leaseEnds int
 	off       bool
+	// hold selects transactions that get no answer and are kept in held, to be executed late; it may be nil.
+	hold func(body []byte) bool
+	held [][]byte
 }
 
 func (x *stateConn) Do(method, path string, body []byte, d time.Duration) store.Response {
@@ -28,6 +34,10 @@
 	if method == "DELETE" {
 		x.leaseEnds++
 	}
+	if path == "/multi" && x.hold != nil && x.hold(body) {
+		x.held = append(x.held, slices.Clone(body))
+		return store.Response{Err: errors.New("no answer")}
+	}
 	return x.state.Do(method, path, body, d)
 }
 
@@ -208,3 +218,34 @@
 		t.Fatalf("%d controllers are registered, want 2; a is registered with lease %d and holds lease %d", b.RegisteredCount(), b.nodes["a"].Lease, a.Lease())
 	}
 }
+
+// Guards against a controller that counts as isolated for good: a registration that is executed late replaces a newer
+// one, which the controller believed to be stored.
+func TestLateRegistrationIsReplaced(t *testing.T) {
+	s := fake.NewRunner(100 * eventloop.Second)
+	state := fake.NewStateService(func() eventloop.Micros { return s.Now() })
+	xa := &stateConn{state: state}
+	a := startMember(s, xa, "a")
+	s.Advance(3 * eventloop.Second)
+	b := startMember(s, &stateConn{state: state}, "b")
+	s.Advance(2 * eventloop.Second)
+	isolated := true
+	a.Isolated = func() bool { return isolated }
+	xa.hold = func(body []byte) bool { return len(xa.held) == 0 && bytes.Contains(body, []byte(nodeKeys+"a")) }
+	s.Advance(3 * eventloop.Second)
+	if len(xa.held) != 1 || !b.nodes["a"].Isolated {
+		t.Fatalf("%d registrations got no answer, want 1; a is registered as isolated: %v, want true", len(xa.held), b.nodes["a"].Isolated)
+	}
+	isolated = false
+	s.Advance(3 * eventloop.Second)
+	if b.nodes["a"].Isolated {
+		t.Fatal("a is registered as isolated although it reaches its peers")
+	}
+	if resp := state.Do("POST", "/multi", xa.held[0], 0); resp.Status != 200 {
+		t.Fatalf("the late registration was answered %d, want 200", resp.Status)
+	}
+	s.Advance(3 * eventloop.Second)
+	if b.nodes["a"].Isolated {
+		t.Error("the late registration was not replaced: a counts as isolated although it reaches its peers")
+	}
+}
