autoscaler: a change of an order's record is repeated until its outcome is certain

What callers saw or could see: after a change of leader, machines rented for demand that was over long before.

Cause: three writes of an order's record were made once, and memory went on as if the answer had been the expected one. An order whose record got no answer was forgotten, while the record was stored or was stored later; the record of the cloud's answer was taken for stored whatever the state service said; and the removal of an order that the cloud had refused was taken for done. Each leaves an unanswered order behind, which the next leader sends to the cloud.

Evidence: TestNoAnswerLeavesOrdersBehind failed before in all four cases: "the order c/o/r-1-1 is left behind as unanswered", and in three of them "the next leader rents 1 machines without demand" (2 in the fourth case).

Why this works: all writes of an order's record go through orderWrite, which repeats them until they are applied, certainly refused, or the leadership ends, and looks the record up when its key has changed. A key that holds another order is left alone. The writes are conditioned on the leadership throughout, so that a repeated one cannot meet the next leader's.

--- a/internal/autoscaler/autoscaler_test.go
+++ b/internal/autoscaler/autoscaler_test.go
@@ -39,6 +39,21 @@
 	probeAnswers    map[string]failuredetector.ProbeResult // probe results by address, where they differ from probeAnswer
 	booted          []wire.CloudMachine
 	deleted         []string
+	state           *fake.StateService
+	// onState handles a request to the state service in its place if it returns a response; it may be nil.
+	onState func(method, path string, body []byte) *store.Response
+}
+
+// stateConn is the rig's connection to the state service.
+type stateConn struct{ g *rig }
+
+func (x stateConn) Do(method, path string, body []byte, d time.Duration) store.Response {
+	if x.g.onState != nil {
+		if resp := x.g.onState(method, path, body); resp != nil {
+			return *resp
+		}
+	}
+	return x.g.state.Do(method, path, body, d)
 }
 
 func (g *rig) Do(method, path string, body []byte, d time.Duration) store.Response {
@@ -53,10 +68,10 @@
 	cfg.Cluster.Cloud.RPS, cfg.Cluster.Cloud.ListLagS = 5, 2
 	cfg.Cluster.State.TxnOps = 16
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	state := fake.NewStateService(func() eventloop.Micros { return g.Now() })
-	state.Put("c/l", map[string]any{"n": "a", "e": 1})
-	c := store.NewClient(g, state, log, 1000, 1000, 1)
-	m := store.NewMirror(c, state, "c/")
+	g.state = fake.NewStateService(func() eventloop.Micros { return g.Now() })
+	g.state.Put("c/l", map[string]any{"n": "a", "e": 1})
+	c := store.NewClient(g, stateConn{g}, log, 1000, 1000, 1)
+	m := store.NewMirror(c, stateConn{g}, "c/")
 	g.cloud = fake.NewCloud(wire.MachineType{Name: "m8", CPUs: 8, MemoryGB: 32, Price: 1, SpotPrice: 0.3, BootS: 4, Zones: []string{"x", "y"}}, each)
 	g.cloud.OnRented = func(l wire.CloudMachine) { g.booted = append(g.booted, l) }
 	g.cloud.OnDeleted = func(name string) { g.deleted = append(g.deleted, name) }
--- a/internal/autoscaler/order.go
+++ b/internal/autoscaler/order.go
@@ -11,7 +11,6 @@
 	"cleatpick/internal/eventloop"
 	"cleatpick/internal/fleet"
 	"cleatpick/internal/job"
-	"cleatpick/internal/membership"
 	"cleatpick/internal/peer"
 	"cleatpick/internal/predicate"
 	"cleatpick/internal/store"
@@ -231,25 +230,15 @@
 	name := fmt.Sprintf("r-%d-%d", a.claim.Epoch, a.seq)
 	o := &order{name: name, record: Order{Type: of.typ, Zone: of.zone, Spot: of.spot, Count: count, At: a.runner.Wall()}}
 	a.orders[name] = o
-	a.storeOrder(o, []wire.Cond{membership.LeaderCond(a.claim), {Key: OrderKeys + name, Revision: 0}}, func(ok bool) {
-		if ok {
-			o.recorded = true
-			if a.leads && a.orders[name] == o && a.mayCall(a.runner.Now()) {
-				a.send(o)
-			}
+	a.storeOrder(o, func(stored bool) {
+		if !stored {
+			delete(a.orders, name) // its name is not reused
 			return
 		}
-		delete(a.orders, name) // its name is not reused; if the record is stored late after all, a new leader sends the order once
-	})
-}
-
-// storeOrder writes an order's record under the given conditions, and passes on whether it was applied.
-func (a *Autoscaler) storeOrder(o *order, cond []wire.Cond, done func(ok bool)) {
-	a.client.Txn(store.Placements, wire.Txn{If: cond, Then: []wire.Change{{Put: OrderKeys + o.name, Value: o.record}}}, func(r store.Result) {
-		if r.Outcome == store.Applied {
-			o.revision = r.Revision
+		o.recorded = true
+		if a.mayCall(a.runner.Now()) {
+			a.send(o)
 		}
-		done(r.Outcome == store.Applied)
 	})
 }
 
@@ -295,7 +284,7 @@
 			} else {
 				delete(a.offers, of)
 			}
-			a.storeOrder(o, []wire.Cond{{Key: OrderKeys + o.name, Revision: o.revision}}, func(bool) {})
+			a.storeOrder(o, func(bool) {})
 		case resp.Err == nil && resp.Status == 503 && strings.Contains(string(resp.Body), "capacity"):
 			a.log.Info("cloud has no capacity for the order; the offer is left out for a while", "order", o.name, "type", of.typ, "zone", of.zone, "spot", of.spot)
 			a.backOffOffer(of)
@@ -324,13 +313,3 @@
 	}
 	b.until = a.runner.Now() + b.wait
 }
-
-// dropOrder forgets an order and deletes its record.
-func (a *Autoscaler) dropOrder(o *order) {
-	delete(a.orders, o.name)
-	a.client.Txn(store.Background, wire.Txn{If: []wire.Cond{membership.LeaderCond(a.claim)}, Then: []wire.Change{{Delete: OrderKeys + o.name}}}, func(r store.Result) {
-		if r.Outcome == store.Applied {
-			a.mirror.Apply(OrderKeys+o.name, nil, r.Revision, true)
-		}
-	})
-}
