autoscaler: the record of a deletion is repeated until it is stored

What callers could see: tasks of a deleted machine that never run elsewhere. The owners go on counting them as running, and the leader ignores the machine when they name it as suspect, since it counts as deleted there.

Cause: recordDeletion gave up after 200 attempts, some 60 s, while the leader had counted the machine as deleted since the cloud's answer.

Why this works: the attempts have no bound any more. The record states a fact that the cloud has confirmed, so it may be stored at any time and by a controller that has lost the leadership. A record that the state service refuses as invalid is logged with its effect.

--- a/internal/autoscaler/deletion.go
+++ b/internal/autoscaler/deletion.go
@@ -59,15 +59,23 @@
 			}
 			a.markDeleted(name)
 		}
-		a.recordDeletion(ch, 0)
+		a.recordDeletion(ch)
 	})
 }
 
-// recordDeletion stores the record of a deletion, retrying until the state service has applied it.
-func (a *Autoscaler) recordDeletion(ch wire.Change, tries int) {
+// deletionRetryDelay is the pause before the record of a deletion is sent again.
+const deletionRetryDelay = 300 * eventloop.Millisecond
+
+// recordDeletion stores the record of a deletion, retrying until the state service has applied it, however long that
+// takes and whoever leads by then: the deletion is certain, and nothing else tells the other controllers of it.
+func (a *Autoscaler) recordDeletion(ch wire.Change) {
 	a.client.Txn(store.Placements, wire.Txn{Then: []wire.Change{ch}}, func(r store.Result) {
-		if r.Outcome != store.Applied && r.Outcome != store.Invalid && tries < 200 {
-			a.runner.After(300*eventloop.Millisecond, func() { a.recordDeletion(ch, tries+1) })
+		switch r.Outcome {
+		case store.Applied:
+		case store.Invalid:
+			a.log.Error("state service refuses the record of deleted machines as invalid; the owners of their tasks do not learn that the tasks are terminated", "key", ch.Put)
+		default:
+			a.runner.After(deletionRetryDelay, func() { a.recordDeletion(ch) })
 		}
 	})
 }
