--- a/internal/node/tasklog_faults_test.go
+++ b/internal/node/tasklog_faults_test.go
@@ -7,6 +7,7 @@
 
 	"cleatpick/internal/config"
 	"cleatpick/internal/eventloop"
+	"cleatpick/internal/fake"
 )
 
 // tasklogSimulation returns a simulation in which task logs consist of many small segments that are filled, emptied and
@@ -36,6 +37,11 @@
 			}
 		})
 	}
+	if r.IntN(4) == 0 {
+		w.after(w.between(20*eventloop.Second, 110*eventloop.Second), func() {
+			w.state.SetLimits(&fake.Limits{ValueBytes: 400 + r.IntN(400), TxnOps: w.cfg.Cluster.State.TxnOps})
+		})
+	}
 	w.injectFaults(r, coincidingFaults)
 	w.startChecks(260 * eventloop.Second)
 	return w
@@ -51,7 +57,7 @@
 			w := tasklogSimulation(t, seed)
 			w.run(3600*eventloop.Second + 600*eventloop.Second)
 			w.checkCompleted(30)
-			t.Logf("%d segments were deleted, %d tasks were started", w.segmentsDeleted, w.starts)
+			t.Logf("%d segments were deleted, %d tasks were started, %d writes were refused as too large", w.segmentsDeleted, w.starts, w.state.Counts().Invalid)
 		})
 	}
 }
