scheduler, workers: log and count an attempt that is active after it was confirmed terminated

The owner now warns of such an attempt, with machine, session, sequence number, host and whether the token was shown, and counts it in reappeared_attempts_total, which must stay 0. The host keeps the token of the newest direct command with a start of each listed attempt, and logs it at level debug with each forget, since a copy of that command is executed until the worker has seen a higher token.

No decision changes. TestReappearedAttemptIsCounted; the tests of internal/workers and internal/scheduler pass.

--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -47,6 +47,7 @@
 	invalidWatermarks  prometheus.Counter
 	commands           *prometheus.CounterVec
 	forgetVerdicts     *prometheus.CounterVec
+	reappeared         prometheus.Counter
 	preempted          prometheus.Counter
 	reserved           prometheus.Counter
 	takeovers          prometheus.Histogram
@@ -111,6 +112,7 @@
 	m.invalidWatermarks = counter("horizon_words_dropped_total", "Invalid messages of peers about cancellations, which were discarded and count as no evidence.")
 	m.commands = counters("commands_total", "Commands sent to workers, by operation and path.", "operation", "way")
 	m.forgetVerdicts = counters("forgets_judged_total", "Decisions whether a worker may be told to forget an ended attempt, by verdict: allowed, or the reason why not yet.", "verdict")
+	m.reappeared = counter("reappeared_attempts_total", "Times that a machine listed an attempt as active after its termination was confirmed.")
 	m.preempted = counter("preemptions_total", "Tasks preempted to free capacity for other jobs.")
 	m.reserved = counter("held_total", "Tasks for which capacity was reserved without preemption: those of the longest waiting jobs, and those of a team that does not have its guarantee.")
 	m.takeovers = histogram("takeover_seconds", "Time from when this controller became the owner of a partition with work until it placed a task of it.", longBuckets)
@@ -158,6 +160,13 @@
 	}
 }
 
+// ReappearedAttempt counts an attempt that is listed as active after its termination was confirmed.
+func (m *Meter) ReappearedAttempt() {
+	if m != nil {
+		m.reappeared.Inc()
+	}
+}
+
 // Preempted counts tasks that are preempted to free capacity for other jobs.
 func (m *Meter) Preempted(tasks int) {
 	if m != nil {
--- a/internal/scheduler/views.go
+++ b/internal/scheduler/views.go
@@ -46,6 +46,7 @@
 		m.Runs.ResetSlowness()
 	}
 	sched.updateTasks(v, c, before, m.Jobs, lastReport)
+	sched.warnOfReappeared(v, c, m.Jobs)
 	if v.Host != "" {
 		sched.forgetEnded(v, m.Jobs)
 	}
@@ -212,23 +213,16 @@
 	for k := range v.Tasks {
 		e := &v.Tasks[k]
 		j := jobs[k]
-		if e.Active() || j == nil || j.Final() || j.Spec == nil {
+		if e.Active() || j == nil || j.Final() {
 			continue // its host controller forgets tasks of a final job by itself
 		}
-		tm := sched.teams[j.Spec.Team]
-		if tm == nil || !tm.loaded || tm.jobs[j.ID] == nil {
+		x := sched.taskOf(e.Task, j)
+		if x == nil {
 			continue
 		}
-		_, i, ok := workers.SplitTask(e.Task)
-		if !ok || i >= j.Tasks {
-			continue
-		}
-		t := tm.jobs[j.ID]
-		x := t.task(i)
 		// A repeated start would run a forgotten task again. The host controller checks this once more by what it
 		// knows; controllers before 0.9.1 rely on this check.
-		superseded := e.Attempt < x.attempt || (e.Attempt == x.attempt && (x.state == Completed || x.state == Waiting))
-		if superseded && !sched.startCanArrive(tm, delivery.Attempt{Task: e.Task, Number: e.Attempt}) {
+		if x.hasEnded(e.Attempt) && !sched.startCanArrive(sched.teams[j.Spec.Team], delivery.Attempt{Task: e.Task, Number: e.Attempt}) {
 			sched.deps.Stop(v.Host, workers.Stop{Machine: v.Name, Task: e.Task, Attempt: e.Attempt, Forget: true})
 		}
 	}
--- a/internal/scheduler/views_test.go
+++ b/internal/scheduler/views_test.go
@@ -1,12 +1,14 @@
 package scheduler
 
 import (
+	"strings"
 	"testing"
 
 	"cleatpick/internal/config"
 	"cleatpick/internal/eventloop"
 	"cleatpick/internal/job"
 	"cleatpick/internal/membership"
+	"cleatpick/internal/metric"
 	"cleatpick/internal/partition"
 	"cleatpick/internal/wire"
 	"cleatpick/internal/workers"
@@ -118,3 +120,37 @@
 		t.Fatalf("started %+v, want attempt 3 of the task that is on no machine", g.starts)
 	}
 }
+
+// A view that lists an attempt as active after its termination was confirmed is counted once, and not again before the
+// attempt changes.
+func TestReappearedAttemptIsCounted(t *testing.T) {
+	g := newRig(100, config.Team{Name: "red", CPUs: 8, CPUsMax: 8})
+	g.scheduler.deps.Meter = metric.New()
+	g.deliverViewOf(1, 1, true)
+	g.acceptJob(1, job.Spec{Team: "red", Tasks: 1, CPUs: 2, AnyType: true, Estimate: eventloop.Second})
+	g.Advance(500 * eventloop.Millisecond)
+	listed := func(attempt uint64, state, why string) {
+		g.deliverViewOf(1, 1, true, workers.Task{Task: "job-000001/0", Attempt: attempt, State: state, Why: why})
+		g.Advance(500 * eventloop.Millisecond)
+	}
+	listed(1, wire.TaskRunning, "")
+	listed(1, wire.TaskExited, wire.WhyStopped)
+	if len(g.starts) < 2 || g.starts[len(g.starts)-1].Attempt != 2 {
+		t.Fatalf("started %+v, want a second attempt", g.starts)
+	}
+	counted := func() bool {
+		text, err := g.scheduler.deps.Meter.Text()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return strings.Contains(string(text), "cleatpick_reappeared_attempts_total 1\n")
+	}
+	if counted() {
+		t.Fatal("an attempt counts as reappeared that is listed as exited")
+	}
+	for range 2 {
+		if listed(1, wire.TaskRunning, ""); !counted() {
+			t.Fatal("an attempt that is active after its termination was confirmed is not counted once")
+		}
+	}
+}
--- a/internal/workers/commands.go
+++ b/internal/workers/commands.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 
+	"cleatpick/internal/delivery"
 	"cleatpick/internal/eventloop"
 	"cleatpick/internal/job"
 	"cleatpick/internal/wire"
@@ -84,6 +85,7 @@
 		}
 		if by == pathDirect {
 			p.direct = true
+			m.directStarts[k] = m.token
 		} else {
 			m.startsInAnswer[k] = struct{}{}
 		}
@@ -136,6 +138,11 @@
 	}
 	for i := range commands {
 		c := &commands[i]
+		if c.Op == wire.OpForget {
+			// A copy of the start below is executed as long as the worker has seen no higher token than its own.
+			a.log.Debug("attempt may be forgotten", "task", c.Task, "attempt", c.Attempt, "machine", m.view.Name, "direct_start_token", m.directStarts[delivery.Attempt{Task: c.Task, Number: c.Attempt}],
+				"first_listed_us", m.firstListed(c.Task, c.Attempt), "report_seq", m.reportSeq)
+		}
 		a.log.Debug("command sent to worker", "op", operationName(c.Op), "task", c.Task, "attempt", c.Attempt, "machine", m.view.Name, "way", string(by), "token", m.token, "session", m.view.Session)
 	}
 }
--- a/internal/workers/forget.go
+++ b/internal/workers/forget.go
@@ -64,6 +64,24 @@
 	return in
 }
 
+// firstListed returns the wall-clock time at which this host first saw the attempt listed; 0: it is not listed.
+func (m *machine) firstListed(task string, attempt uint64) eventloop.Micros {
+	if i := m.view.index(task, attempt); i >= 0 {
+		return m.view.firstListed[i]
+	}
+	return 0
+}
+
+// dropDirectStarts removes the tokens of starts that are neither listed nor pending: the worker has forgotten these
+// attempts, or refuses the starts.
+func (m *machine) dropDirectStarts() {
+	for attempt := range m.directStarts {
+		if m.pending[attempt] == nil && m.view.index(attempt.Task, attempt.Number) < 0 {
+			delete(m.directStarts, attempt)
+		}
+	}
+}
+
 // firstListedTimes returns, for each task of the view, the time at which this host first saw that attempt listed.
 // before is the machine's previous view, and c the differences between the two.
 func (v *View) firstListedTimes(before *View, c *Changes, wall eventloop.Micros) []eventloop.Micros {
--- a/internal/workers/machine.go
+++ b/internal/workers/machine.go
@@ -62,6 +62,9 @@
 	// which may be in flight until the worker reports again.
 	reportSession, reportSeq uint64
 	startsInAnswer           map[delivery.Attempt]struct{}
+	// directStarts holds the token of the newest direct command with a start of the attempt, for listed and pending
+	// attempts.
+	directStarts map[delivery.Attempt]uint64
 	// rejected holds rejected starts and the time until which they are remembered: no copy of one may be accepted
 	// before it has expired.
 	rejected map[delivery.Attempt]eventloop.Micros
@@ -80,7 +83,7 @@
 
 // newMachine makes the entry of a machine that reports here for the first time.
 func newMachine() *machine {
-	return &machine{pending: map[delivery.Attempt]*pendingStart{}, startsInAnswer: map[delivery.Attempt]struct{}{}, rejected: map[delivery.Attempt]eventloop.Micros{},
+	return &machine{pending: map[delivery.Attempt]*pendingStart{}, startsInAnswer: map[delivery.Attempt]struct{}{}, directStarts: map[delivery.Attempt]uint64{}, rejected: map[delivery.Attempt]eventloop.Micros{},
 		reservations: map[delivery.Attempt]eventloop.Micros{}, stops: map[delivery.Attempt]stopRequest{}}
 }
 
--- a/internal/workers/report.go
+++ b/internal/workers/report.go
@@ -136,6 +136,7 @@
 		}
 	}
 	a.expireStarts(m, wall)
+	m.dropDirectStarts()
 }
 
 // updateView updates the machine's newest view, and publishes it if peers must receive the change.
