workers, node: red: a copy of an executed start starts its task again after the forget

Callers saw a task on two machines: a direct command with its start was executed and answered, the attempt was stopped, forgotten and placed on another machine, and a copy of the command arrived 11.9 s after the first one. By the protocol the worker no longer knows the attempt and starts it anew. The host took the answer for proof that the start cannot arrive any more; the answer proves that it was executed.

The simulated clusters lost, delayed and copied reports and delayed commands without an answer, but never delivered an executed and answered request again. copyLater now does, for direct commands, reports, transactions, leases, calls to the cloud, frames between controllers, submissions and cancellations, 0.1 to 200 s later, while controllers and machines restart within a second. Where commands are copied, the checker counts the start in an executed direct command as deliverable until the worker has seen a higher token or is in another session, also by the message with the forget.

--- /dev/null
+++ b/internal/node/request_copies_test.go
@@ -0,0 +1,43 @@
+package node
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"cleatpick/internal/config"
+	"cleatpick/internal/eventloop"
+)
+
+// copiesSimulation returns a simulation in which copies of executed requests of all kinds arrive again, while
+// controllers and machines restart within a second and all other faults occur.
+func copiesSimulation(t testing.TB, seed uint64) *simulation {
+	r := rand.New(rand.NewPCG(seed, 6400))
+	w, jobs := randomSimulation(t, seed, r, func(*config.Config) {})
+	for i := range jobs {
+		w.after(w.between(eventloop.Second, 120*eventloop.Second), func() { w.addJob(i) })
+	}
+	w.copyAll([]float64{0.02, 0.1, 0.3}[r.IntN(3)])
+	w.injectFaults(r, isolationFaults)
+	w.startChecks(260 * eventloop.Second)
+	return w
+}
+
+// No copy of an executed request makes a task run twice or after its cancellation, or violates any other invariant.
+func TestInvariantsUnderCopiesOfExecutedRequests(t *testing.T) {
+	from, to := seedRange(t, 1, 24)
+	for seed := from; seed <= to; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			w := copiesSimulation(t, seed)
+			w.run(3600*eventloop.Second + 700*eventloop.Second)
+			w.checkCompleted(20)
+			w.checkHalfServed()
+			for kind, arrived := range w.copiesArrived {
+				if arrived == 0 {
+					t.Errorf("no copy of a request of kind %d arrived", kind)
+				}
+			}
+		})
+	}
+}
--- a/internal/node/simulation_delivery_test.go
+++ b/internal/node/simulation_delivery_test.go
@@ -26,8 +26,8 @@
 
 // commandsSent records that a host controller sends commands to a worker, and checks them. It checks the precondition
 // of a task that runs twice and not the second run itself, which is thousands of times rarer: no forget may be sent
-// while a start of the same attempt can still reach the worker. It returns nil if there are no starts among the
-// commands.
+// while a start of the same attempt, or a copy of it, would still be executed after the forget. It returns nil if there
+// are no starts among the commands.
 func (w *simulation) commandsSent(x *simWorker, route string, c wire.Commands, session uint64, until eventloop.Micros) *startsInFlight {
 	for old := range x.inFlight {
 		if !old.canArrive(w.now, x) {
@@ -40,7 +40,7 @@
 		case command.Op == wire.OpStart:
 			sent.starts = append(sent.starts, command)
 		case command.Op == wire.OpForget && sent.canArrive(w.now, x):
-			w.checkForget(x, route, command)
+			w.checkForget(x, sent, command)
 		}
 	}
 	if len(sent.starts) == 0 {
@@ -50,14 +50,18 @@
 	return sent
 }
 
-// checkForget fails if a start of the attempt can still reach the worker.
-func (w *simulation) checkForget(x *simWorker, route string, forget wire.Command) {
+// checkForget fails if a start of the attempt would be executed after the forget. The worker has seen the token of the
+// message with the forget by then, and refuses what has a lower one.
+func (w *simulation) checkForget(x *simWorker, sent *startsInFlight, forget wire.Command) {
 	w.forgetsSent++
 	for d := range x.inFlight {
+		if d.token < sent.token {
+			continue
+		}
 		for _, start := range d.starts {
 			if start.Task == forget.Task && start.Attempt == forget.Attempt {
-				w.fail("forget of %s attempt %d is sent to %s in %s, while a start of it is in flight in %s",
-					forget.Task, forget.Attempt, x.w.Name, route, d.route)
+				w.fail("forget of %s attempt %d is sent to %s in %s, while a start of it in %s can still be executed",
+					forget.Task, forget.Attempt, x.w.Name, sent.route, d.route)
 			}
 		}
 	}
--- a/internal/node/simulation_machine_test.go
+++ b/internal/node/simulation_machine_test.go
@@ -48,7 +48,12 @@
 	}
 	return w.requestVia(w.workerLinkMode(from, x), func() store.Response {
 		resp := w.executeCommand(from, x, path, body)
-		x.commandsArrived(sent)
+		if resp.Err == nil && path == "/commands" {
+			w.copyCommand(from, x, path, body)
+		}
+		if w.copyShares[copiedCommand] == 0 {
+			x.commandsArrived(sent)
+		}
 		return resp
 	})
 }
@@ -205,6 +210,7 @@
 	case connected:
 		w.after(w.between(300, 2000), deliver)
 		w.deliverCopies(r)
+		w.copyReport(r)
 	case delaying:
 		w.after(w.between(5*eventloop.Second, 40*eventloop.Second), deliver) // a late report
 	}
--- a/internal/node/simulation_state_service_test.go
+++ b/internal/node/simulation_state_service_test.go
@@ -33,6 +33,9 @@
 		return store.Response{Err: errNoAnswer}
 	}
 	resp := l.link.Do(method, path, body, limit)
+	if resp.Err == nil {
+		w.copyStateRequest(l.do, method, path, body)
+	}
 	if w.stateFaults.lostAnswers > 0 && w.rng.Float64() < w.stateFaults.lostAnswers {
 		return store.Response{Err: errNoAnswer}
 	}
--- a/internal/node/simulation_test.go
+++ b/internal/node/simulation_test.go
@@ -95,6 +95,8 @@
 	faultsEndAt         eventloop.Micros   // from when on there are no faults; 0: checks that need this are off
 	// slowAnswerShare is the share of the answers to reports that arrive 0.2 to 3.5 s late.
 	slowAnswerShare float64
+	copyShares      [requestKinds]float64 // by kind, the share of executed requests of which a copy arrives again
+	copiesArrived   [requestKinds]int
 	forgetsSent     int // number sent to workers that would execute them
 	segmentsDeleted int // number of segments of task logs that were deleted
 	// intensePollUntil is until when users poll intensely, see pollIntensely.
@@ -461,12 +463,12 @@
 		return resp
 	}}, s}
 	s.n = NewWith(&cfg, slog.New(w.logHandler(label)), Dependencies{Loop: r, State: state, Watch: watch{state, label + ">watch"},
-		Cloud: link{w, label + ">cloud", func(m, p string, b []byte) store.Response {
+		Cloud: cloudLink{link{w, label + ">cloud", func(m, p string, b []byte) store.Response {
 			w.addToTrace(label+" asks the cloud "+m+p, b)
 			resp := w.cloud.Do(m, p, b, 0)
 			s.requestExecuted(p, b)
 			return resp
-		}},
+		}}},
 		Workers: func(addr, method, path string, body []byte, _ time.Duration) store.Response {
 			return excludeFromCost(w, func() store.Response { return w.direct(label, addr, path, body) })
 		}, Probe: func(addr string) failuredetector.ProbeResult { return w.probe(label, addr) }})
@@ -483,6 +485,7 @@
 			d = w.between(eventloop.Second, 60*eventloop.Second)
 		}
 		w.after(d, func() { w.deliverFrame(to, f) })
+		w.copyLater(copiedFrame, func() { w.deliverFrame(to, f) })
 	}
 	r.Post(s.n.Start)
 }
@@ -541,13 +544,15 @@
 		j.submittedAt = w.now
 	}
 	if s := w.pickNode(); s != nil {
-		s.execute(s.incarnation, func() {
+		request := func(n *Node, answer func(job.Answer)) {
 			if j.terms == nil {
-				s.n.jobs.Submit(j.id, j.spec, w.answerChecker(j))
+				n.jobs.Submit(j.id, j.spec, answer)
 			} else {
-				s.n.jobs.SubmitWithTerms(j.id, j.spec, j.terms, w.answerChecker(j))
+				n.jobs.SubmitWithTerms(j.id, j.spec, j.terms, answer)
 			}
-		})
+		}
+		s.execute(s.incarnation, func() { request(s.n, w.answerChecker(j)) })
+		w.copyUserRequest(request)
 	}
 	w.after(w.between(2*eventloop.Second, 4*eventloop.Second), func() {
 		if !j.accepted {
@@ -593,7 +598,9 @@
 		return
 	}
 	if s := w.pickNode(); s != nil {
-		s.execute(s.incarnation, func() { s.n.jobs.Cancel(j.id, w.answerChecker(j)) })
+		request := func(n *Node, answer func(job.Answer)) { n.jobs.Cancel(j.id, answer) }
+		s.execute(s.incarnation, func() { request(s.n, w.answerChecker(j)) })
+		w.copyUserRequest(request)
 	}
 	w.after(2*eventloop.Second, func() { w.cancel(j) })
 }
