workers: tasks of a machine that restarted in its old session count as gone once their starts are refused

A machine may be back within a second, and its worker may begin as if it had just booted: in session 1, with no token seen (PROTOCOL: the session "starts at 1", the token is "0 at first"). Copies of commands from before the restart then match its session. Its host gave it the very token of those commands, took its empty list for proof that its tasks had ended, and their owner started them elsewhere; a copy then ran them a second time.

Cause: a lower session, token or sequence number than before was read as an old message, never as a worker that has lost its memory, and tokens were reused: by a host that had the machine before, and by a host of a lower epoch than the one before, whose commands the worker then obeys.

A restart is proven by an attempt that is missing from a newer list of the session though no forget was sent, or by an answer to a direct command with a sequence number known before. The worker then has to show a token above all earlier ones before its view counts as confirmed. A host that had the machine before goes on from the token it had, and views say the epoch of the newest token, so that the next host takes a higher one. A report no newer than another one is answered 503: either nobody waits for the answer, or the worker restarted, and its lease and session should end.

TestTasksOfMachineRestartedAsNewRunOnce lets starts of the tasks that were on the machine arrive after the restart.

Three tests had a worker that breaks the protocol, and do the same with one that does not: TestForgetWaitsForAnswerInFlight and TestWhatBlocksAForget repeated a sequence number and dropped an attempt from the list without a forget; the duplicate there and in TestOvertakenReportStopsTasksOfFinalJobs was answered 200, and the latter now takes a worker for each phase.

--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -155,6 +155,29 @@
 	w.forgotten = nil
 }
 
+// RestartAsNew ends all tasks and begins as a machine that has just booted: in session 1, with no report sent and no token
+// seen.
+func (w *Worker) RestartAsNew(now eventloop.Micros) {
+	w.Restart(now)
+	w.session = 1
+}
+
+// Exited lists the attempts that have exited and that the worker has not been told to forget.
+func (w *Worker) Exited() (exited []wire.Command) {
+	for _, t := range w.tasks {
+		if t.state == wire.TaskExited {
+			exited = append(exited, wire.Command{Task: t.task, Attempt: t.attempt})
+		}
+	}
+	return exited
+}
+
+// Active reports whether an attempt is on the machine and has not exited.
+func (w *Worker) Active(task string, attempt uint64) bool {
+	t := w.find(task, attempt)
+	return t != nil && t.state != wire.TaskExited
+}
+
 // Session returns the number of the present session.
 func (w *Worker) Session() uint64 { return w.session }
 
--- a/internal/node/request_copies_test.go
+++ b/internal/node/request_copies_test.go
@@ -56,3 +56,41 @@
 		}
 	}
 }
+
+// A machine that restarts within a second, as if it had just booted, and executes copies of the starts of the tasks that
+// were on it does not run a task that has been started elsewhere since.
+func TestTasksOfMachineRestartedAsNewRunOnce(t *testing.T) {
+	from, to := seedRange(t, 1, 32)
+	replayed := make([]int, to-from+1)
+	t.Run("seeds", func(t *testing.T) {
+		for seed := from; seed <= to; seed++ {
+			t.Run(fmt.Sprint(seed), func(t *testing.T) {
+				t.Parallel()
+				r := rand.New(rand.NewPCG(seed, 6401))
+				w, jobs := randomSimulation(t, seed, r, func(*config.Config) {})
+				w.restartAsNew = true
+				for i := range jobs {
+					w.after(w.between(eventloop.Second, 120*eventloop.Second), func() { w.addJob(i) })
+				}
+				w.copyShares[copiedCommand] = 0.1
+				w.repeatFaults(12*eventloop.Second, 3*eventloop.Second, 15*eventloop.Second, func() {
+					w.restartMachines(w.someMachines(0.1 + 0.4*w.rng.Float64()))
+					if r.IntN(4) == 0 {
+						w.restartQuickly(w.someControllers(), 1)
+					}
+				})
+				w.startChecks(260 * eventloop.Second)
+				w.run(3600*eventloop.Second + 700*eventloop.Second)
+				w.checkCompleted(20)
+				replayed[seed-from] = w.replayedStarts
+			})
+		}
+	})
+	total := 0
+	for _, n := range replayed {
+		total += n
+	}
+	if total < len(replayed) {
+		t.Errorf("%d starts arrived again after a restart in %d simulations", total, len(replayed))
+	}
+}
--- a/internal/node/simulation_copies_test.go
+++ b/internal/node/simulation_copies_test.go
@@ -1,6 +1,9 @@
 package node
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -53,14 +56,47 @@
 
 // copyCommand copies a direct command that its worker executed and answered.
 func (w *simulation) copyCommand(from string, x *simWorker, path string, body []byte) {
+	restarts := x.restarts
 	w.copyLater(copiedCommand, func() {
 		w.whenResumed(x, func() {
+			if x.restarts != restarts {
+				return // see replayAfterRestart
+			}
 			x.w.Tick(w.now)
 			w.executeCommand(from, x, path, body)
 		})
 	})
 }
 
+// replayAfterRestart lets copies of starts arrive at a machine that is about to restart as new, for the attempts that are
+// active on it. No other command from before the restart may arrive there, late or again: the worker has seen no token
+// and is in the session of the command, so it executes a start before any controller can know of the restart.
+func (w *simulation) replayAfterRestart(x *simWorker) {
+	x.restarts++
+	restarts := x.restarts
+	inOrder := slices.SortedFunc(maps.Keys(x.inFlight), func(a, b *startsInFlight) int { return cmp.Compare(a.number, b.number) })
+	for _, sent := range inOrder {
+		c := wire.Commands{Token: sent.token, Session: sent.session}
+		for _, start := range sent.starts {
+			if x.w.Active(start.Task, start.Attempt) {
+				c.Commands = append(c.Commands, start)
+			}
+		}
+		if len(c.Commands) == 0 || sent.until != 0 {
+			continue
+		}
+		w.after(w.copyDelay(), func() {
+			w.whenResumed(x, func() {
+				if x.restarts == restarts {
+					w.replayedStarts += len(c.Commands)
+					x.w.Tick(w.now)
+					w.executeCommand(sent.route, x, "/commands", wire.Marshal(c))
+				}
+			})
+		})
+	}
+}
+
 // copyReport copies a report that a controller received. The copy may reach another controller, or a later incarnation
 // of the same one.
 func (w *simulation) copyReport(r wire.Report) {
--- a/internal/node/simulation_delivery_test.go
+++ b/internal/node/simulation_delivery_test.go
@@ -12,6 +12,7 @@
 
 // startsInFlight is a message with starts that a host controller has sent and that has not reached its worker yet.
 type startsInFlight struct {
+	number  int    // in the order in which they were sent to the machine
 	route   string // how it is sent, for failure messages
 	token   uint64
 	session uint64
@@ -46,6 +47,8 @@
 	if len(sent.starts) == 0 {
 		return nil
 	}
+	x.startsSent++
+	sent.number = x.startsSent
 	x.inFlight[sent] = struct{}{}
 	return sent
 }
--- a/internal/node/simulation_machine_test.go
+++ b/internal/node/simulation_machine_test.go
@@ -32,6 +32,13 @@
 		return store.Response{Err: errNoAnswer}
 	}
 	w.directCommandSent(from, x, path, body)
+	restarts := x.restarts
+	execute := func() store.Response {
+		if x.restarts != restarts { // see replayAfterRestart
+			return store.Response{Err: errNoAnswer}
+		}
+		return w.executeCommand(from, x, path, body)
+	}
 	if x.unresponsive {
 		return store.Response{Err: errNoAnswer}
 	}
@@ -40,13 +47,13 @@
 		w.after(w.between(eventloop.Second, 10*eventloop.Second), func() {
 			w.whenResumed(x, func() {
 				x.w.Tick(w.now) // its lease may have expired
-				w.executeCommand(from, x, path, body)
+				execute()
 			})
 		})
 		return store.Response{Err: errNoAnswer}
 	}
 	return w.requestVia(w.workerLinkMode(from, x), func() store.Response {
-		resp := w.executeCommand(from, x, path, body)
+		resp := execute()
 		if resp.Err == nil && path == "/commands" {
 			w.copyCommand(from, x, path, body)
 		}
@@ -234,10 +241,16 @@
 }
 
 // restartMachines restarts machines at once under the same names, which ends all tasks on them. Their session numbers
-// continue from the last one: by the protocol, the larger of two is the newer.
+// continue from the last one, by which the larger of two is the newer, or begin at 1 again; the protocol allows either
+// reading.
 func (w *simulation) restartMachines(names []string) {
 	for _, name := range names {
-		if x := w.workers[name]; !x.deleted {
+		switch x := w.workers[name]; {
+		case x.deleted:
+		case w.restartAsNew:
+			w.replayAfterRestart(x)
+			x.w.RestartAsNew(w.now)
+		default:
 			x.w.Restart(w.now)
 		}
 	}
--- a/internal/node/simulation_test.go
+++ b/internal/node/simulation_test.go
@@ -97,8 +97,10 @@
 	slowAnswerShare float64
 	copyShares      [requestKinds]float64 // by kind, the share of executed requests of which a copy arrives again
 	copiesArrived   [requestKinds]int
-	forgetsSent     int // number sent to workers that would execute them
-	segmentsDeleted int // number of segments of task logs that were deleted
+	restartAsNew    bool // machines that restart begin in session 1 and have seen no token
+	replayedStarts  int  // number of starts that arrived again after such a restart
+	forgetsSent     int  // number sent to workers that would execute them
+	segmentsDeleted int  // number of segments of task logs that were deleted
 	// intensePollUntil is until when users poll intensely, see pollIntensely.
 	intensePollUntil eventloop.Micros
 	openQuestions    map[question]*openQuestion  // questions that a controller has not answered
@@ -171,7 +173,9 @@
 	unresponsive bool // its reports arrive; answers and commands do not reach it
 	cannotReport bool // it cannot connect to any controller; commands reach it and are answered
 	// inFlight are the messages with starts that are in flight to it.
-	inFlight map[*startsInFlight]struct{}
+	inFlight   map[*startsInFlight]struct{}
+	startsSent int // number of messages with starts that were sent to it
+	restarts   int // how often it restarted as new
 }
 
 // simJob is a job and what its user did and was told.
--- a/internal/workers/commands.go
+++ b/internal/workers/commands.go
@@ -61,7 +61,7 @@
 		switch {
 		case q.stop.Forget:
 			if a.mayForget(m, i) {
-				out = append(out, wire.Command{Op: wire.OpForget, Task: k.Task, Attempt: k.Number})
+				out = m.appendForget(out, k)
 			}
 		case t.Active() && !(t.State == wire.TaskSaving && q.stop.Grace > 0):
 			grace := float64(q.stop.Grace) / 1e6
@@ -112,12 +112,18 @@
 			zero := 0.0
 			out = append(out, wire.Command{Op: wire.OpStop, Task: t.Task, Attempt: t.Attempt, GraceS: &zero})
 		} else if a.mayForget(m, i) {
-			out = append(out, wire.Command{Op: wire.OpForget, Task: t.Task, Attempt: t.Attempt})
+			out = m.appendForget(out, delivery.Attempt{Task: t.Task, Number: t.Attempt})
 		}
 	}
 	return out
 }
 
+// appendForget appends a forget of the attempt.
+func (m *machine) appendForget(out []wire.Command, attempt delivery.Attempt) []wire.Command {
+	m.forgetsSent[attempt] = struct{}{}
+	return append(out, wire.Command{Op: wire.OpForget, Task: attempt.Task, Attempt: attempt.Number})
+}
+
 // operationName returns the name of a command's operation for logs and metrics.
 func operationName(op string) string {
 	switch op {
--- a/internal/workers/delta.go
+++ b/internal/workers/delta.go
@@ -131,7 +131,7 @@
 
 // deltaTo returns the differences of v from base; ok is false where only the full view can be sent.
 func (v *View) deltaTo(base *View) (d *Delta, ok bool) {
-	if base == nil || base.Host != v.Host || base.Incarnation != v.Incarnation || base.Session != v.Session || base.Addr != v.Addr {
+	if base == nil || base.Host != v.Host || base.Incarnation != v.Incarnation || base.Session != v.Session || base.Addr != v.Addr || base.Epoch != v.Epoch {
 		return nil, false
 	}
 	c := v.ChangesSince(base)
--- a/internal/workers/delta_test.go
+++ b/internal/workers/delta_test.go
@@ -59,6 +59,9 @@
 			if rapid.IntRange(0, 9).Draw(t, "session") == 0 {
 				v.Session, v.Seq, v.Tasks = v.Session+1, 1, []Task{}
 			}
+			if rapid.IntRange(0, 9).Draw(t, "epoch") == 0 {
+				v.Epoch++
+			}
 			v.TokenConfirmed, v.MadeAfter = rapid.Bool().Draw(t, "settled"), v.MadeAfter+1
 			checkChanges(t, host, &v)
 			host = &v
--- a/internal/workers/direct.go
+++ b/internal/workers/direct.go
@@ -34,21 +34,29 @@
 		return
 	}
 	m.directInFlight, m.wantTaskList = true, false
-	token, session, addr, sent := m.token, m.view.Session, m.view.Addr, a.runner.Wall()
+	command := directCommand{token: m.token, session: m.view.Session, knownSeq: m.view.Seq, sentAt: a.runner.Wall()}
+	addr := m.view.Addr
 	a.runner.Go(func() {
-		resp := a.sendDirect(addr, wire.Commands{Token: token, Session: session, Commands: cmds}, 1500*time.Millisecond)
-		a.runner.Post(func() { a.handleDirectResponse(m, token, sent, resp) })
+		resp := a.sendDirect(addr, wire.Commands{Token: command.token, Session: command.session, Commands: cmds}, 1500*time.Millisecond)
+		a.runner.Post(func() { a.handleDirectResponse(m, command, resp) })
 	})
 }
 
+// directCommand is what is known of a direct command when its response arrives.
+type directCommand struct {
+	token, session uint64
+	knownSeq       uint64           // newest sequence number of the machine when the command was sent
+	sentAt         eventloop.Micros // wall-clock time
+}
+
 // handleDirectResponse handles the response to a direct command.
-func (a *Registry) handleDirectResponse(m *machine, token uint64, sent eventloop.Micros, resp store.Response) {
+func (a *Registry) handleDirectResponse(m *machine, command directCommand, resp store.Response) {
 	m.directInFlight = false
 	var r wire.Report
 	sure := resp.Err == nil && (resp.Status == 200 || resp.Status == 409) && wire.Unmarshal(resp.Body, &r) == nil
 	for _, p := range m.pending {
 		if p.direct && !sure {
-			p.untilToken = token + 1
+			p.untilToken = command.token + 1
 		}
 		p.direct = false
 	}
@@ -59,15 +67,21 @@
 		// The command may still be carried out minutes later, until the worker has seen a higher token and
 		// shows it.
 		a.log.Debug("direct command without a definite answer; the machine gets a higher token and no direct commands until it shows it", "machine", m.view.Name, "err", resp.Err, "status", resp.Status)
-		a.requireHigherToken(m, token)
+		a.requireHigherToken(m, command.token)
+		a.updateView(m)
+		return
+	}
+	if m.provesRestart(command, &r) {
+		a.workerRestarted(m)
 		a.updateView(m)
 		return
 	}
 	if r.Machine == m.view.Name && (r.Session > m.view.Session || (r.Session == m.view.Session && r.Seq > m.view.Seq)) {
+		madeAfter := command.sentAt
 		if resp.Status == 409 {
-			sent = 0
+			madeAfter = 0
 		}
-		a.applyReport(m, r, false, sent)
+		a.applyReport(m, r, false, madeAfter)
 		a.updateView(m)
 	}
 	if m.state == TokenShown {
--- a/internal/workers/forget.go
+++ b/internal/workers/forget.go
@@ -1,6 +1,8 @@
 package workers
 
 import (
+	"maps"
+
 	"cleatpick/internal/delivery"
 	"cleatpick/internal/eventloop"
 )
@@ -97,14 +99,12 @@
 	return 0
 }
 
-// dropDirectStarts removes the tokens of starts that are neither listed nor pending: the worker has forgotten these
-// attempts, or refuses the starts.
-func (m *machine) dropDirectStarts() {
-	for attempt := range m.directStarts {
-		if m.pending[attempt] == nil && m.view.index(attempt.Task, attempt.Number) < 0 {
-			delete(m.directStarts, attempt)
-		}
-	}
+// dropUnlisted removes what is known of attempts that are neither listed nor pending: the worker has forgotten them, or
+// refuses their starts.
+func (m *machine) dropUnlisted() {
+	unlisted := func(attempt delivery.Attempt) bool { return m.view.index(attempt.Task, attempt.Number) < 0 }
+	maps.DeleteFunc(m.directStarts, func(attempt delivery.Attempt, _ uint64) bool { return m.pending[attempt] == nil && unlisted(attempt) })
+	maps.DeleteFunc(m.forgetsSent, func(attempt delivery.Attempt, _ struct{}) bool { return unlisted(attempt) })
 }
 
 // firstListedTimes returns, for each task of the view, the time at which this host first saw that attempt listed.
--- a/internal/workers/forget_test.go
+++ b/internal/workers/forget_test.go
@@ -49,8 +49,11 @@
 	g.answersDirect(4, token, wire.ReportTask{Task: "job-1/0", Attempt: 5, State: wire.TaskExited, Why: wire.WhyStopped})
 	g.registry.Stop(Stop{Machine: "n-1", Task: "job-1/0", Attempt: 5})
 	g.runWork()
+	seq := uint64(4)
 	forget := func(after eventloop.Micros) {
 		g.now += after
+		seq++
+		g.answersDirect(seq, token, terminated(5))
 		g.registry.Stop(Stop{Machine: "n-1", Task: "job-1/0", Attempt: 5, Forget: true})
 		g.registry.RequestTaskList("n-1")
 		g.runWork()
@@ -97,10 +100,10 @@
 			return []wire.Commands{g.report(t, 3, token, terminated(1))}
 		}, 0},
 		{"listed in another state before", func(g *testRegistry, token uint64) []wire.Commands {
-			g.report(t, 3, token, wire.ReportTask{Task: "job-1/0", Attempt: 2, State: wire.TaskRunning})
+			g.report(t, 3, token, terminated(1), wire.ReportTask{Task: "job-1/0", Attempt: 2, State: wire.TaskRunning})
 			g.now += long
-			return []wire.Commands{g.report(t, 4, token, terminated(2))}
-		}, 1},
+			return []wire.Commands{g.report(t, 4, token, terminated(1), terminated(2))}
+		}, 2},
 		{"listed beside an earlier attempt", func(g *testRegistry, token uint64) []wire.Commands {
 			g.now += long
 			return []wire.Commands{g.report(t, 3, token, terminated(1), terminated(2))}
@@ -136,7 +139,15 @@
 		{"a duplicate of an earlier report", func(g *testRegistry, token uint64) []wire.Commands {
 			g.now += long
 			g.hostedMachine().startsInAnswer[delivery.Attempt{Task: "job-1/0", Number: 1}] = struct{}{}
-			return []wire.Commands{g.report(t, 2, token, terminated(1))}
+			g.registry.Report(wire.Report{Machine: "n-1", Addr: "x:1", Type: "m", Zone: "z", Session: 1, Seq: 2, Token: token, Tasks: []wire.ReportTask{terminated(1)}}, func(a Answer) {
+				if a.Status != 503 {
+					t.Errorf("the duplicate is answered %d, want 503", a.Status)
+				}
+			})
+			g.answersDirect(3, token, terminated(1))
+			g.registry.RequestTaskList("n-1")
+			g.runWork()
+			return g.sent
 		}, 0},
 		{"its start is in an answer, and a direct answer has overtaken the next report", func(g *testRegistry, token uint64) []wire.Commands {
 			g.now += long
--- a/internal/workers/report.go
+++ b/internal/workers/report.go
@@ -31,8 +31,9 @@
 	if known := a.views[r.Machine]; known != nil && !(r.Session > known.Session || (r.Session == known.Session && r.Seq > known.Seq)) {
 		// The report's task list is outdated. If the answer to a direct command overtook the report, the worker
 		// waits for this answer and stays with this host. A report that was delayed on its way has been given
-		// up by its worker long ago.
-		if m == nil || m.token == 0 || r.Session != m.view.Session {
+		// up by its worker long ago, and so has one that is no newer than another report, unless the worker has
+		// restarted (restart.go).
+		if m == nil || m.token == 0 || r.Session != m.view.Session || r.Seq <= m.reportSeq {
 			reply(Answer{503, wire.Error{Error: "late report"}})
 			return
 		}
@@ -45,14 +46,11 @@
 		return
 	}
 	if m == nil {
-		m = newMachine()
-		m.view.Name = r.Machine
-		a.hosted[r.Machine] = m
+		m = a.host(r.Machine)
 	}
 	epoch := a.config.Epoch()
 	if r.Token > m.token || m.token == 0 {
-		if EpochOf(r.Token) < epoch {
-			m.token, m.tokenIssuedAt = epoch<<counterBits, a.runner.Wall()
+		if max(EpochOf(r.Token), a.peerEpoch(r.Machine)) < epoch && a.issueToken(m, a.runner.Wall()) {
 			m.requiredToken = m.token
 		} else {
 			// The worker obeys a token above all of ours. Only a token of a newer epoch is obeyed again.
@@ -100,11 +98,6 @@
 	if reported {
 		m.recordReport(r.Session, r.Seq)
 	}
-	if m.tokenShown(r.Token) {
-		a.setState(m, TokenShown)
-	} else {
-		a.setState(m, AwaitingToken)
-	}
 	before := *v
 	v.Tasks = make([]Task, 0, len(r.Tasks))
 	for _, t := range r.Tasks {
@@ -112,13 +105,21 @@
 	}
 	v.Session = r.Session
 	c := v.ChangesSince(&before)
+	if m.vanished(&before, &c) {
+		a.workerRestarted(m)
+	}
+	if m.tokenShown(r.Token) {
+		a.setState(m, TokenShown)
+	} else {
+		a.setState(m, AwaitingToken)
+	}
 	v.shareWith(&before, &c)
 	v.firstListed = v.firstListedTimes(&before, &c, wall)
 	if !c.Unchanged || (v.NoticeAt == 0) != (r.NoticeS == nil) {
 		m.dirty = true
 	}
 	v.Name, v.Addr, v.Type, v.Zone, v.Spot, v.Host, v.Incarnation = r.Machine, r.Addr, r.Type, r.Zone, r.Spot, a.config.Label, a.config.Incarnation
-	v.Seq = r.Seq
+	v.Seq, v.Epoch = r.Seq, EpochOf(m.token)
 	if reported {
 		v.ReportedAt = wall
 	}
@@ -140,7 +141,7 @@
 		}
 	}
 	a.expireStarts(m, wall)
-	m.dropDirectStarts()
+	m.dropUnlisted()
 }
 
 // updateView updates the machine's newest view, and publishes it if peers must receive the change.
--- a/internal/workers/token.go
+++ b/internal/workers/token.go
@@ -11,7 +11,7 @@
 // issueToken gives a machine a token above all that were issued to it before, and reports whether there is one. If the
 // present epoch has none left, a newer epoch is requested.
 func (a *Registry) issueToken(m *machine, wall eventloop.Micros) bool {
-	next := max(m.token+1, a.config.Epoch()<<counterBits)
+	next := max(m.token+1, m.issuedBefore+1, a.config.Epoch()<<counterBits)
 	if EpochOf(next) > a.config.Epoch() {
 		a.log.Info("tokens of the epoch are used up for a machine; a newer epoch is requested", "machine", m.view.Name, "token", m.token)
 		a.config.RaiseEpoch(func() {})
@@ -36,3 +36,11 @@
 func (m *machine) tokenShown(token uint64) bool {
 	return m.requiredToken <= token && token <= m.token
 }
+
+// peerEpoch returns the epoch of the newest token that another host gave the machine, as far as known; 0: none.
+func (a *Registry) peerEpoch(name string) uint64 {
+	if v := a.views[name]; v != nil && v.Host != a.config.Label {
+		return v.Epoch
+	}
+	return 0
+}
--- a/internal/workers/view.go
+++ b/internal/workers/view.go
@@ -50,6 +50,9 @@
 	// renews the machine's lease: a machine that answers commands may still be unable to report.
 	ReportedAt eventloop.Micros `cbor:"17,keyasint,omitempty"`
 
+	// Epoch is the epoch of the newest token that the host gave the machine.
+	Epoch uint64 `cbor:"18,keyasint,omitempty"`
+
 	jobs     []*job.Job // of Tasks, looked up once; nil where a job is not known here yet
 	used     Capacity   // capacity taken by active tasks and pending starts
 	resolved bool       // the jobs of all active tasks and pending starts were known here, so used is complete
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -66,13 +66,15 @@
 	views      map[string]*View
 	deleted    map[string]bool     // machines known to be deleted
 	redirects  map[string]redirect // workers that were sent to another controller
+	// issuedTokens holds the highest token issued to each machine that was hosted here and now is not.
+	issuedTokens map[string]uint64
 
 	toPublish []*machine
 }
 
 // New makes an empty registry.
 func New(r eventloop.Runner, log *slog.Logger, h Config, direct DirectSender) *Registry {
-	a := &Registry{runner: r, log: log, config: h, sendDirect: direct, hosted: map[string]*machine{}, views: map[string]*View{}, deleted: map[string]bool{}, redirects: map[string]redirect{}}
+	a := &Registry{runner: r, log: log, config: h, sendDirect: direct, hosted: map[string]*machine{}, views: map[string]*View{}, deleted: map[string]bool{}, redirects: map[string]redirect{}, issuedTokens: map[string]uint64{}}
 	eventloop.Every(r, 500*eventloop.Millisecond, a.tick)
 	return a
 }
@@ -85,6 +87,7 @@
 	if m := a.hosted[v.Name]; m != nil {
 		a.setState(m, HostedElsewhere)
 		delete(a.hosted, v.Name)
+		a.issuedTokens[v.Name] = max(m.token, m.issuedBefore)
 	}
 	a.setView(v)
 }
@@ -138,6 +141,17 @@
 	delete(a.redirects, name)
 	delete(a.hosted, name)
 	delete(a.views, name)
+	delete(a.issuedTokens, name)
+}
+
+// host makes the entry of a machine that reports here and did not before.
+func (a *Registry) host(name string) *machine {
+	m := newMachine()
+	m.view.Name = name
+	m.issuedBefore = a.issuedTokens[name]
+	delete(a.issuedTokens, name)
+	a.hosted[name] = m
+	return m
 }
 
 // ForgetDeleted drops the memory of deleted machines. If a delayed message makes one of them known again, it is found
--- a/internal/workers/workers_test.go
+++ b/internal/workers/workers_test.go
@@ -260,18 +260,22 @@
 // the tasks of final jobs like any other answer; otherwise answers without commands would keep a cancelled
 // job's task alive.
 func TestOvertakenReportStopsTasksOfFinalJobs(t *testing.T) {
-	g := newTestRegistry()
 	run := wire.ReportTask{Task: "job-1/0", Attempt: 1, State: wire.TaskRunning}
-	token := g.report(t, 1, 0).Token
-	g.report(t, 2, token, run)
-	g.resp = store.Response{Status: 200, Body: wire.Marshal(wire.Report{Machine: "n-1", Type: "m", Zone: "z", Session: 1, Seq: 4, Token: token, Tasks: []wire.ReportTask{run}})}
-	g.registry.RequestTaskList("n-1")
-	g.runWork()
-	if c := g.report(t, 3, token, run); len(c.Commands) != 0 {
+	// overtaken returns the answer to a report that the answer to a direct command has overtaken.
+	overtaken := func(phase job.Phase) wire.Commands {
+		g := newTestRegistry()
+		token := g.report(t, 1, 0).Token
+		g.report(t, 2, token, run)
+		g.resp = store.Response{Status: 200, Body: wire.Marshal(wire.Report{Machine: "n-1", Type: "m", Zone: "z", Session: 1, Seq: 4, Token: token, Tasks: []wire.ReportTask{run}})}
+		g.registry.RequestTaskList("n-1")
+		g.runWork()
+		g.registry.jobOf("job-1/0").Phase = phase
+		return g.report(t, 3, token, run)
+	}
+	if c := overtaken(job.Accepted); len(c.Commands) != 0 {
 		t.Fatalf("the overtaken report is answered with %v although the job is not final", c.Commands)
 	}
-	g.registry.jobOf("job-1/0").Phase = job.Cancelled
-	if c := g.report(t, 3, token, run); len(c.Commands) != 1 || c.Commands[0].Op != wire.OpStop || *c.Commands[0].GraceS != 0 {
+	if c := overtaken(job.Cancelled); len(c.Commands) != 1 || c.Commands[0].Op != wire.OpStop || *c.Commands[0].GraceS != 0 {
 		t.Fatalf("the overtaken report is answered with %v", c.Commands)
 	}
 }
