--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -60,6 +60,7 @@
 	State, Cloud, Reports, Commands, UserRole   TrafficSummary
 	StateWrites, StateRefused, StateInvalid     int
 	ChangesPerStart, RequestsPerStart           float64
+	CopiesOfCommands                            int64   // that reached workers
 	Partitions                                  int     // of the stored layout; 0: each team is a partition
 	PartitionSegments, TeamSegments             int     // segments of task logs at the end
 	ReportBytesPerWorkerS, AnswerBytesPerWorker float64 // per second
@@ -92,7 +93,7 @@
 	counts := r.state.Counts()
 	out := &Report{Seconds: seconds, StateWrites: counts.Writes, StateRefused: counts.Refused, StateInvalid: counts.Invalid, UserStatuses: map[string]int{},
 		State: summarizeTraffic(&r.stateTraffic, seconds), Cloud: summarizeTraffic(&r.cloudTraffic, seconds), Reports: summarizeTraffic(&r.workers.reports, seconds),
-		Commands: summarizeTraffic(&r.workers.commands, seconds), UserRole: summarizeTraffic(&r.users.traffic, seconds), Workers: r.maxWorkers}
+		Commands: summarizeTraffic(&r.workers.commands, seconds), UserRole: summarizeTraffic(&r.users.traffic, seconds), Workers: r.maxWorkers, CopiesOfCommands: r.workers.copies.arrived.Load()}
 	var layout partition.Layout
 	if raw, ok := r.state.Value(partition.LayoutKey); ok {
 		wire.Unmarshal(raw, &layout)
@@ -158,6 +159,7 @@
 	}{{"state service", out.State}, {"cloud", out.Cloud}, {"reports", out.Reports}, {"direct commands", out.Commands}, {"users", out.UserRole}} {
 		line("%s: %d requests, %.1f per second, %d bytes in, %d out", x.name, x.r.Requests, x.r.PerSecond, x.r.BytesIn, x.r.BytesOut)
 	}
+	line("copies of executed commands that reached workers: %d", out.CopiesOfCommands)
 	line("state service: %d changes, %.3f per start; %.3f requests per start; %d refused, %d malformed", out.StateWrites, out.ChangesPerStart, out.RequestsPerStart, out.StateRefused, out.StateInvalid)
 	line("task logs: %d partitions with %d segments, %d segments of teams' own logs", out.Partitions, out.PartitionSegments, out.TeamSegments)
 	line("per worker: %.0f bytes per second sent, %.0f received", out.ReportBytesPerWorkerS, out.AnswerBytesPerWorker)
--- a/internal/scale/settings.go
+++ b/internal/scale/settings.go
@@ -70,6 +70,8 @@
 		ValueKB  int     `toml:"value_kb"`
 		TxnOps   int     `toml:"txn_ops"`
 	} `toml:"state"`
+	// CopiedCommands is the share of executed direct commands of which a copy reaches the worker again.
+	CopiedCommands     float64 `toml:"copied_commands"`
 	CloudRPS           float64 `toml:"cloud_rps"`
 	ControllerMemoryMB float64 `toml:"memory_mb"`   // memory limit in each controller's settings
 	MaxMemoryGiB       float64 `toml:"most_memory"` // of the controllers and the load run together; the run stops beyond it
@@ -127,6 +129,7 @@
 	checkRange("state.write_rps", s.State.WriteRPS, 1, 1e6)
 	checkRange("state.value_kb", float64(s.State.ValueKB), 2, 1024)
 	checkRange("state.txn_ops", float64(s.State.TxnOps), 5, 1000)
+	checkRange("copied_commands", s.CopiedCommands, 0, 1)
 	checkRange("cloud_rps", s.CloudRPS, 0.1, 1000)
 	checkRange("memory_mb", s.ControllerMemoryMB, 32, 4096)
 	checkRange("most_memory", s.MaxMemoryGiB, 0.1, maxMemoryGiB)
--- a/internal/scale/workers.go
+++ b/internal/scale/workers.go
@@ -34,6 +34,7 @@
 	clock        eventloop.Clock
 	checker      *invariantChecker
 	controllers  []*controller
+	copies       *commandCopies
 	client       *fasthttp.Client
 	goroutines   sync.WaitGroup
 	reports      Traffic       // as sent by the workers
@@ -60,7 +61,7 @@
 
 // newSimulatedWorkers returns workers without any machine.
 func newSimulatedWorkers(ctx context.Context, s *Settings, clock eventloop.Clock, checker *invariantChecker) *simulatedWorkers {
-	return &simulatedWorkers{ctx: ctx, settings: s, clock: clock, checker: checker, silentZones: make([]atomic.Bool, s.Zones), byMachine: map[string]*simulatedWorker{},
+	return &simulatedWorkers{ctx: ctx, settings: s, clock: clock, checker: checker, copies: newCommandCopies(s.CopiedCommands, s.Seed), silentZones: make([]atomic.Bool, s.Zones), byMachine: map[string]*simulatedWorker{},
 		client: &fasthttp.Client{MaxConnsPerHost: maxWorkerConns, MaxIdleConnDuration: time.Minute, NoDefaultUserAgentHeader: true,
 			MaxIdemponentCallAttempts: 1, ReadBufferSize: 4096, WriteBufferSize: 4096,
 			RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false }}}
@@ -260,6 +261,7 @@
 		return store.Response{Status: 400}
 	}
 	status, report := w.fake.HandleCommands(s.clock.Now(), c)
+	s.deliverAgain(w, c)
 	return store.Response{Status: status, Body: wire.Marshal(report)}
 }
 
