workers: a report is handled in short steps

Refusing, answering an outdated report, issuing a token and waiting for a newer epoch are functions of their own. One comparison says whether a report is newer than those before, for answers and for recordReport; the answer to an outdated report compared sequence numbers of different sessions.

--- a/internal/workers/machine.go
+++ b/internal/workers/machine.go
@@ -95,10 +95,15 @@
 	m.view.TokenConfirmed = s == TokenShown
 }
 
+// isNewestReport reports whether a report is newer than all reports that were recorded.
+func (m *machine) isNewestReport(session, seq uint64) bool {
+	return session > m.reportSession || session == m.reportSession && seq > m.reportSeq
+}
+
 // recordReport records that a worker made a report. A worker has one report in flight at a time, so the answers to
 // all earlier reports have arrived or never will. A duplicate of a report proves nothing new.
 func (m *machine) recordReport(session, seq uint64) {
-	if session < m.reportSession || session == m.reportSession && seq <= m.reportSeq {
+	if !m.isNewestReport(session, seq) {
 		return
 	}
 	m.reportSession, m.reportSeq = session, seq
--- a/internal/workers/report.go
+++ b/internal/workers/report.go
@@ -13,66 +13,93 @@
 
 // Report handles a report that arrived at this controller. reply is called once, on the event loop.
 func (a *Registry) Report(r wire.Report, reply func(Answer)) {
-	if ok, controller := a.config.MayAnswer(); !ok {
-		reply(Answer{421, wire.Redirect{Node: controller}})
+	if refusal, refused := a.refuseReport(&r); refused {
+		reply(refusal)
+		return
+	}
+	if a.isOutdated(&r) {
+		reply(a.answerOutdatedReport(&r))
+		return
+	}
+	m := a.hosted[r.Machine]
+	if m == nil {
+		m = a.host(r.Machine)
+	}
+	if !a.ensureToken(m, &r) {
+		a.reportUnderNewerEpoch(m, r, reply)
 		return
 	}
+	a.applyReport(m, r, true, m.tokenIssuedAt)
+	commands := a.commands(m, pathAnswer)
+	reply(Answer{200, wire.Commands{Token: m.token, Commands: commands}})
+	a.updateView(m)
+}
+
+// refuseReport returns the answer to a report that this controller does not handle.
+func (a *Registry) refuseReport(r *wire.Report) (refusal Answer, refused bool) {
+	if ok, controller := a.config.MayAnswer(); !ok {
+		return Answer{421, wire.Redirect{Node: controller}}, true
+	}
 	was := a.redirects[r.Machine]
 	if on, to, again := a.config.Redirect(r.Machine, was.times); on && a.runner.Now()-was.at > again {
 		a.redirects[r.Machine] = redirect{a.runner.Now(), was.times + 1}
-		reply(Answer{421, wire.Redirect{Node: to}})
-		return
+		return Answer{421, wire.Redirect{Node: to}}, true
 	}
 	if a.deleted[r.Machine] {
-		reply(Answer{503, wire.Error{Error: "machine is deleted"}})
-		return
+		return Answer{503, wire.Error{Error: "machine is deleted"}}, true
 	}
+	return Answer{}, false
+}
+
+// isOutdated reports whether a view at least as new as the report is known.
+func (a *Registry) isOutdated(r *wire.Report) bool {
+	known := a.views[r.Machine]
+	return known != nil && (r.Session < known.Session || r.Session == known.Session && r.Seq <= known.Seq)
+}
+
+// answerOutdatedReport returns the answer to a report whose task list is outdated. If the answer to a direct command
+// overtook the report, the worker waits for this answer and stays with this host. A report that was delayed on its way has
+// been given up by its worker long ago, and so has one that is no newer than another report, unless the worker has
+// restarted (restart.go).
+func (a *Registry) answerOutdatedReport(r *wire.Report) Answer {
 	m := a.hosted[r.Machine]
-	if known := a.views[r.Machine]; known != nil && !(r.Session > known.Session || (r.Session == known.Session && r.Seq > known.Seq)) {
-		// The report's task list is outdated. If the answer to a direct command overtook the report, the worker
-		// waits for this answer and stays with this host. A report that was delayed on its way has been given
-		// up by its worker long ago, and so has one that is no newer than another report, unless the worker has
-		// restarted (restart.go).
-		if m == nil || m.token == 0 || r.Session != m.view.Session || r.Seq <= m.reportSeq {
-			reply(Answer{503, wire.Error{Error: "late report"}})
-			return
+	if m == nil || m.token == 0 || r.Session != m.view.Session || !m.isNewestReport(r.Session, r.Seq) {
+		return Answer{503, wire.Error{Error: "late report"}}
+	}
+	// The answer renews the worker's lease like any other, so it must stop the tasks of final jobs like any other.
+	m.recordReport(r.Session, r.Seq)
+	commands := a.finalJobCommands(m, []wire.Command{})
+	a.logCommands(m, pathLateAnswer, commands)
+	return Answer{200, wire.Commands{Token: m.token, Commands: commands}}
+}
+
+// ensureToken issues a token of this host that the worker obeys, unless the machine has one. It returns false if a newer
+// epoch must be obtained first.
+func (a *Registry) ensureToken(m *machine, r *wire.Report) bool {
+	if m.token != 0 && r.Token <= m.token {
+		if m.token < m.requiredToken {
+			a.issueToken(m, a.runner.Wall())
 		}
-		// The answer renews the worker's lease like any other, so it must stop the tasks of final jobs like any
-		// other.
-		m.recordReport(r.Session, r.Seq)
-		commands := a.finalJobCommands(m, []wire.Command{})
-		a.logCommands(m, pathLateAnswer, commands)
-		reply(Answer{200, wire.Commands{Token: m.token, Commands: commands}})
-		return
+		return true
 	}
-	if m == nil {
-		m = a.host(r.Machine)
+	if max(EpochOf(r.Token), a.peerEpoch(r.Machine)) >= a.config.Epoch() || !a.issueToken(m, a.runner.Wall()) {
+		return false
 	}
-	epoch := a.config.Epoch()
-	if r.Token > m.token || m.token == 0 {
-		if max(EpochOf(r.Token), a.peerEpoch(r.Machine)) < epoch && a.issueToken(m, a.runner.Wall()) {
-			m.requiredToken = m.token
-		} else {
-			// The worker obeys a token above all of ours. Only a token of a newer epoch is obeyed again.
-			a.setState(m, RaisingEpoch)
-			before := epoch
-			a.config.RaiseEpoch(func() {
-				if a.config.Epoch() <= before {
-					reply(Answer{503, wire.Error{Error: "no epoch"}})
-					return
-				}
-				a.Report(r, reply)
-			})
+	m.requiredToken = m.token
+	return true
+}
+
+// reportUnderNewerEpoch handles a report whose worker obeys a token above all of ours, once a newer epoch was obtained.
+func (a *Registry) reportUnderNewerEpoch(m *machine, r wire.Report, reply func(Answer)) {
+	a.setState(m, RaisingEpoch)
+	before := a.config.Epoch()
+	a.config.RaiseEpoch(func() {
+		if a.config.Epoch() <= before {
+			reply(Answer{503, wire.Error{Error: "no epoch"}})
 			return
 		}
-	}
-	if m.token < m.requiredToken {
-		a.issueToken(m, a.runner.Wall())
-	}
-	a.applyReport(m, r, true, m.tokenIssuedAt)
-	commands := a.commands(m, pathAnswer)
-	reply(Answer{200, wire.Commands{Token: m.token, Commands: commands}})
-	a.updateView(m)
+		a.Report(r, reply)
+	})
 }
 
 // redirect records when a worker was last sent to another controller, and how often it was.
