scheduler: warn of a reappeared attempt only by reports from after the records were read

The earlier owner had seen newer views and recorded the ends; the new one has the records and its own, older views. Such a view says nothing, so it no longer counts.

--- a/internal/scheduler/reappeared.go
+++ b/internal/scheduler/reappeared.go
@@ -5,8 +5,9 @@
 	"cleatpick/internal/workers"
 )
 
-// warnOfReappeared logs and counts the attempts that a machine lists as active although their termination was confirmed
-// here. A task of which that is true may run on two machines.
+// warnOfReappeared logs and counts the attempts that a machine lists as active although their termination was confirmed. A
+// task of which that is true may run on two machines. A report from before this owner read the team's records says nothing:
+// an earlier owner may have seen newer ones.
 func (sched *Scheduler) warnOfReappeared(v *workers.View, c *workers.Changes, jobs []*job.Job) {
 	if c.Unchanged {
 		return
@@ -17,7 +18,7 @@
 			continue
 		}
 		x := sched.taskOf(e.Task, jobs[k])
-		if x == nil || !x.hasEnded(e.Attempt) {
+		if x == nil || !x.hasEnded(e.Attempt) || v.ReportedAt <= sched.teams[jobs[k].Spec.Team].loadedAt+sched.maxClockDifference() {
 			continue
 		}
 		sched.deps.Meter.ReappearedAttempt()
