review: case 4, a late report of an earlier life ends tasks that run (ran_twice)

Cause: a view of a higher session ends every task that was recorded under a lower one, whenever it was made. After all machines and controllers are back within a second, workers are in session 1 again and no controller knows of session 2; a copy of an older report then shows it.

The cases are ordered by weight: 4 this one, 5 the cancelled task, 6 the frames (was 4), 7 the rent (was 6), 8 the drained machine (was 7).

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -5,4 +5,4 @@
   echo "run the build command of deploy/service.toml and review/build-2.sh first"
   exit 2
 fi
-exec target/stand2 rent review/6
+exec target/stand2 frame review/6
--- a/review/_stand2/fleet.go
+++ b/review/_stand2/fleet.go
@@ -49,8 +49,9 @@
 	changed bool
 	host    int
 	lastTok time.Time
-	hang    time.Time // until when the machine hangs
-	gone    bool      // it was deleted or taken back, and answers nothing any more
+	hang    time.Time   // until when the machine hangs
+	sent    wire.Report // the newest report that was answered
+	gone    bool        // it was deleted or taken back, and answers nothing any more
 }
 
 func newFleet(w *world) *fleet {
@@ -280,6 +281,7 @@
 		m.lastTok, m.changed = time.Now(), true
 	}
 	if !m.gone {
+		m.sent = rep
 		m.fake.HandleAnswer(f.w.clock.Now(), sent, rep.Session, a)
 	}
 	return "", true
--- a/review/_stand2/main.go
+++ b/review/_stand2/main.go
@@ -15,6 +15,9 @@
 // limit is the time after which a run is given up.
 const limit = 117 * time.Second
 
+// current is the world of the run.
+var current *world
+
 func main() {
 	if len(os.Args) != 3 {
 		fmt.Println("usage: stand2 CASE FOLDER")
@@ -58,6 +61,9 @@
 	case <-time.After(limit):
 		r.f("the case could not run: it took too long")
 		fmt.Println("the case could not run: it took too long")
-		os.Exit(2) // the controllers end with this process
+		if current != nil {
+			current.close()
+		}
+		os.Exit(2)
 	}
 }
--- a/review/_stand2/world.go
+++ b/review/_stand2/world.go
@@ -117,6 +117,7 @@
 	check(err)
 	ctx, stop := context.WithCancel(context.Background())
 	w := &world{record: r, s: s, clock: eventloop.RealClock(), dir: dir, ctx: ctx, stop: stop}
+	current = w
 	w.state = newStateService(w)
 	w.cloud = newCloud(w)
 	w.fleet = newFleet(w)
