--- a/review/_stand2/drain.go
+++ b/review/_stand2/drain.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -101,6 +103,9 @@
 	}
 	for time.Now().Before(end) {
 		time.Sleep(500 * time.Millisecond)
+		if !trouble && len(ids) > 0 && !slices.ContainsFunc(slices.Collect(maps.Keys(ids)), func(z string) bool { return !started(z) }) {
+			break
+		}
 		for _, z := range zones[:3] {
 			if taken[z].IsZero() && len(ids) == 0 && isOn(onOrdinary[z], of(z, false)) && isOn(onCheap[z], of(z, true)) {
 				taken[z] = time.Now()
@@ -109,7 +114,7 @@
 					w.cloud.fake.Reclaim(of(z, true))
 				}
 			}
-			if ids[z] == "" && !taken[z].IsZero() && time.Since(taken[z]) > 7*time.Second && drained(z) && time.Until(end) > patience+time.Second {
+			if ids[z] == "" && !taken[z].IsZero() && time.Since(taken[z]) > 7*time.Second && drained(z) && (time.Until(end) > patience+time.Second || !trouble && time.Until(end) > 10*time.Second) {
 				r.f("machine %s in %s: given no more work: %v", of(z, false), z, drained(z))
 				ids[z] = submit(job{team: "clientes", tasks: 1, cpus: 2, mem: 2, runS: 10, field: z, loaners: true})
 				waits[z] = time.Now()
