workers, scheduler: what a report of another session proves depends on when it was made

A copy of a report of session 2 from before arrived, the tasks that ran in session 1 were taken for ended and started elsewhere. Tasks that had been recorded in session 2 counted as in use for good.

Cause: a view of a higher session ended tasks whatever the time at which it was made, and one of a lower session never ended any. Sessions order the messages of one life of a worker only. Three statements of a host controller rested on the same belief: it cleared the starts that it had passed on when a report showed a higher session, it then rejected them ("another session"), which their owner takes for proof, and it carried over the time after which the list was certainly made. A rejection and what was passed on were also forgotten when a machine reported elsewhere for a while.

Change: the evidence is the moment. A report of another session, or with a lower token than was shown before, makes the host controller raise the token; the list counts as made after that only once the token is shown. A task of another session ends by a view that was made after its start was recorded (higher), or after it could arrive (lower). Starts that were passed on stay listed until the raised token is shown and are never rejected; rejections and passed-on starts outlive the machine's entry until no copy can arrive.

Why no simulated cluster showed it: machines restarted as new beside copies of commands, never beside copies of reports, and controllers were never away for longer than a lease before, so that few machines were in a higher session. The new test has both.

--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -46,6 +46,12 @@
 	return expiry + b.MaxDifference + AnswerLifetime
 }
 
+// AfterRecord reports whether an event that was certainly later than madeAfter, by the clock of any controller, was later
+// than the time at which the owner began to record the start with the given expiry.
+func (b ClockBounds) AfterRecord(madeAfter, expiry eventloop.Micros) bool {
+	return madeAfter > expiry-b.StartLifetime+b.MaxDifference
+}
+
 // LatestArrivalOfRecorded returns the same for an attempt whose expiry is unknown, given a time by the caller's clock at
 // which the owner had already begun to record the start. The expiry was set by the owner's clock and is checked by a host
 // controller's clock, which are both different from the caller's; but only those two have to be compared, by
--- a/internal/delivery/expiries.go
+++ b/internal/delivery/expiries.go
@@ -2,9 +2,10 @@
 
 import "cleatpick/internal/eventloop"
 
-// Expiries holds the expiry of the start of each attempt that an owner recorded. Prune removes an attempt once its start
-// can no longer arrive, so the size is bounded by the number of attempts recorded while a start can arrive, plus those
-// recorded between two calls of Prune.
+// Expiries holds the expiry of the start of each attempt in a set: those that an owner recorded, or those that a host
+// controller passed on or rejected. Prune removes an attempt once its start
+// can no longer arrive, so the size is bounded by the number of attempts added while a start can arrive, plus those
+// added between two calls of Prune.
 type Expiries struct {
 	bounds ClockBounds
 	expiry map[Attempt]eventloop.Micros
@@ -15,7 +16,7 @@
 	return &Expiries{bounds: bounds, expiry: map[Attempt]eventloop.Micros{}}
 }
 
-// Record adds an attempt whose start is being recorded with the given expiry, a wall clock time. If the attempt is
+// Record adds an attempt whose start has the given expiry, a wall clock time. If the attempt is
 // recorded again, the later expiry counts.
 func (e *Expiries) Record(attempt Attempt, expiry eventloop.Micros) {
 	e.expiry[attempt] = max(e.expiry[attempt], expiry)
--- a/internal/node/request_copies_test.go
+++ b/internal/node/request_copies_test.go
@@ -94,3 +94,38 @@
 		t.Errorf("%d starts arrived again after a restart in %d simulations", total, len(replayed))
 	}
 }
+
+// Tasks run once, and all run in the end, when copies of reports from before a restart arrive after it. The machines are
+// in session 2 or later, since no controller answered them for longer than their lease, and restart in session 1 together
+// with all controllers, which then know nothing of the higher sessions.
+func TestTasksRunOnceWhenReportsOfHigherSessionsArriveAgain(t *testing.T) {
+	from, to := seedRange(t, 1, 16)
+	for seed := from; seed <= to; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			r := rand.New(rand.NewPCG(seed, 7001))
+			w, jobs := randomSimulation(t, seed, r, func(*config.Config) {})
+			w.restartAsNew = true
+			for i := range jobs {
+				w.after(w.between(eventloop.Second, 120*eventloop.Second), func() { w.addJob(i) })
+			}
+			w.copyShares[copiedReport] = 0.2
+			lease := eventloop.Seconds(w.cfg.Cluster.Workers.LeaseS)
+			w.repeatFaults(10*eventloop.Second, 40*eventloop.Second, 60*eventloop.Second, func() {
+				for _, label := range w.labels {
+					w.killFor(label, lease+w.between(0, 4*eventloop.Second))
+				}
+				w.after(lease+w.between(8*eventloop.Second, 20*eventloop.Second), func() {
+					w.restartMachines(w.someMachines(0.3 + 0.7*w.rng.Float64()))
+					w.restartQuickly(w.labels, 1)
+				})
+			})
+			w.startChecks(260 * eventloop.Second)
+			w.run(3600*eventloop.Second + 700*eventloop.Second)
+			w.checkCompleted(20)
+			if w.copiesArrived[copiedReport] == 0 {
+				t.Error("no copy of a report arrived")
+			}
+		})
+	}
+}
--- a/internal/scheduler/views.go
+++ b/internal/scheduler/views.go
@@ -112,12 +112,7 @@
 	}
 	name := t.taskName(i)
 	if v.Session > x.session {
-		// The worker began a new session, so all tasks of the previous one were killed.
-		sched.recordLost(t, i, lastReport)
-		sched.confirmTerminated(t, i, "new session")
-		return
-	}
-	if v.Session < x.session {
+		sched.updateTaskOfEndedSession(t, i, v, lastReport)
 		return
 	}
 	e := v.Find(name, x.attempt)
@@ -128,15 +123,15 @@
 		}
 		// The task is absent from the list. That confirms termination only if the list was made when the start could
 		// no longer arrive: the start had expired by every clock, the worker's timeout for an answer carrying it was
-		// over, and the machine follows its host controller's token, so that no earlier command can take effect.
+		// over, and the machine follows its host controller's token, so that no earlier command can take effect. The
+		// same holds if the list is of a lower session: the worker has restarted since it was started there.
 		latestArrival := sched.clock.LatestArrival(x.expiry)
 		if v.TokenConfirmed && v.MadeAfter > latestArrival {
 			sched.confirmTerminated(t, i, "absent")
 			return
 		}
-		if now := sched.runner.Now(); sched.runner.Wall() > latestArrival && now-sched.checkRequestedAt[v.Name] > eventloop.Second {
-			sched.checkRequestedAt[v.Name] = now
-			sched.deps.RequestTaskList(v.Host, v.Name)
+		if sched.runner.Wall() > latestArrival {
+			sched.requestTaskList(v)
 		}
 		return
 	}
@@ -187,6 +182,30 @@
 	sched.forgetIfTerminated(t)
 }
 
+// updateTaskOfEndedSession updates a task whose machine shows a higher session than the one in which it was started. The
+// worker kills all tasks of a session before it begins the next one. A copy of a report from before the worker restarted
+// may show a higher session, too, so the view is evidence only if it was made after the start was recorded.
+func (sched *Scheduler) updateTaskOfEndedSession(t *jobTable, i int, v *workers.View, lastReport eventloop.Micros) {
+	x := t.task(i)
+	if sched.clock.AfterRecord(v.MadeAfter, x.expiry) {
+		sched.recordLost(t, i, lastReport)
+		sched.confirmTerminated(t, i, "new session")
+		return
+	}
+	sched.setListed(t, i, x.listed, true)
+	sched.requestTaskList(v)
+}
+
+// requestTaskList asks the machine's host controller for a list that is certainly new, at most once per second.
+func (sched *Scheduler) requestTaskList(v *workers.View) {
+	now := sched.runner.Now()
+	if now-sched.checkRequestedAt[v.Name] <= eventloop.Second {
+		return
+	}
+	sched.checkRequestedAt[v.Name] = now
+	sched.deps.RequestTaskList(v.Host, v.Name)
+}
+
 // maxClockDifference returns the bound on the difference of two wall clocks, plus a margin.
 func (sched *Scheduler) maxClockDifference() eventloop.Micros { return sched.clock.MaxDifference }
 
--- a/internal/scheduler/views_test.go
+++ b/internal/scheduler/views_test.go
@@ -97,6 +97,50 @@
 	}
 }
 
+// A view of a higher session is no evidence if it may have been made before the start: a copy of a report from before the
+// worker restarted in a lower session. It once ended tasks that ran. A task that was started in a higher session than the
+// machine shows counts as gone once the list is certainly newer than its start; it once counted as in use for ever.
+func TestViewOfAnotherSessionIsEvidenceOnlyIfMadeAfterTheStart(t *testing.T) {
+	for _, c := range []struct {
+		name             string
+		started, shown   uint64
+		confirmed, older bool // the token is confirmed; the view was made before the start
+		ends             bool
+	}{
+		{"a higher session, made before the start", 1, 2, true, true, false},
+		{"a higher session, made after the start", 1, 2, false, false, true},
+		{"a lower session, made before the start", 2, 1, true, true, false},
+		{"a lower session, token not confirmed", 2, 1, false, false, false},
+		{"a lower session, made after the start", 2, 1, true, false, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := newRig(100, config.Team{Name: "red", CPUs: 8, CPUsMax: 8})
+			g.deliverViewOf(1, c.started, true)
+			g.acceptJob(1, job.Spec{Team: "red", Tasks: 1, CPUs: 2, AnyType: true, Estimate: eventloop.Second})
+			before := g.Now()
+			g.Advance(15 * eventloop.Second)
+			sent := len(g.starts)
+			madeAfter := g.Now()
+			if c.older {
+				madeAfter = before
+			}
+			// The host controller knows nothing of the machine's other sessions.
+			g.workers.MarkDeleted("n-001")
+			g.workers.ForgetDeleted([]string{"n-001"})
+			for range 3 {
+				g.seq++
+				g.workers.ApplyView(&workers.View{Name: "n-001", Type: "m8", Zone: "x", Host: "b", Incarnation: 2, Session: c.shown, Seq: g.seq, TokenConfirmed: c.confirmed, MadeAfter: madeAfter})
+				g.Advance(eventloop.Second)
+			}
+			g.deliverView("n-002", "m8", "x", false)
+			g.Advance(eventloop.Second)
+			if ended := len(g.starts) > sent; ended != c.ends {
+				t.Errorf("the task is started again: %v, want %v; starts %+v", ended, c.ends, g.starts)
+			}
+		})
+	}
+}
+
 // A delayed report lists a task from before an earlier owner had it forgotten, and no later report lists it. The
 // present owner never sees the task end; it once counted the task as running for ever.
 func TestTaskThatVanishesBeforeAnyReport(t *testing.T) {
--- a/internal/workers/commands.go
+++ b/internal/workers/commands.go
@@ -18,11 +18,6 @@
 			m.dirty = true
 		}
 	}
-	for k, until := range m.rejected {
-		if wall > until {
-			delete(m.rejected, k)
-		}
-	}
 }
 
 // commandPath is the path by which commands reach a worker.
@@ -80,12 +75,13 @@
 	}
 	for _, k := range sortedAttempts(m.pending) {
 		p := m.pending[k]
-		if p.direct || p.untilToken != 0 || wall >= p.start.Expiry {
+		if p.direct || p.untilToken != 0 || wall >= p.start.Expiry || p.start.Session != m.view.Session {
 			continue
 		}
 		if j := a.jobOf(k.Task); j == nil || j.Final() || a.startBlocked(j, &m.view) != "" {
 			continue
 		}
+		a.passedOn.Record(k, p.start.Expiry)
 		if by == pathDirect {
 			p.direct = true
 			m.directStarts[k] = m.token
--- a/internal/workers/machine.go
+++ b/internal/workers/machine.go
@@ -51,6 +51,7 @@
 	token uint64 // of the next message to the worker
 	// requiredToken is the lowest token that the worker must show: commands of unknown outcome have lower ones.
 	requiredToken uint64
+	shownToken    uint64           // that the worker showed last
 	issuedBefore  uint64           // highest token that was issued while the machine was hosted here before
 	tokenIssuedAt eventloop.Micros // wall-clock time before which the token did not exist
 	wantTaskList  bool             // an owner requested a task list that is certainly new
@@ -63,9 +64,6 @@
 	// attempts.
 	directStarts map[delivery.Attempt]uint64
 	forgetsSent  map[delivery.Attempt]struct{} // the listed attempts that the worker was told to forget
-	// rejected holds rejected starts and the time until which they are remembered: no copy of one may be accepted
-	// before it has expired.
-	rejected map[delivery.Attempt]eventloop.Micros
 	// reservations holds the capacity reserved for starts whose attempts owners are still recording, and until when.
 	reservations     map[delivery.Attempt]eventloop.Micros
 	stops            map[delivery.Attempt]stopRequest
@@ -81,7 +79,7 @@
 
 // newMachine makes the entry of a machine that reports here for the first time.
 func newMachine() *machine {
-	return &machine{pending: map[delivery.Attempt]*pendingStart{}, startsInAnswer: map[delivery.Attempt]struct{}{}, directStarts: map[delivery.Attempt]uint64{}, forgetsSent: map[delivery.Attempt]struct{}{}, rejected: map[delivery.Attempt]eventloop.Micros{},
+	return &machine{pending: map[delivery.Attempt]*pendingStart{}, startsInAnswer: map[delivery.Attempt]struct{}{}, directStarts: map[delivery.Attempt]uint64{}, forgetsSent: map[delivery.Attempt]struct{}{},
 		reservations: map[delivery.Attempt]eventloop.Micros{}, stops: map[delivery.Attempt]stopRequest{}}
 }
 
--- a/internal/workers/report.go
+++ b/internal/workers/report.go
@@ -116,25 +116,32 @@
 func (a *Registry) applyReport(m *machine, r wire.Report, reported bool, madeAfter eventloop.Micros) {
 	wall := a.runner.Wall()
 	v := &m.view
-	if v.Session != 0 && r.Session > v.Session {
-		// The worker's lease expired: all its tasks were killed and forgotten, and commands of the previous
-		// session are rejected.
-		a.log.Info("worker began a new session; its earlier tasks were killed and pending starts are dropped", "machine", r.Machine, "session", r.Session)
-		clear(m.pending)
-	}
 	if reported {
 		m.recordReport(r.Session, r.Seq)
 	}
 	before := *v
+	sameLife := m.continuesLife(&r)
+	if !sameLife {
+		a.log.Info("worker shows another session, or a lower token; what was sent to it before counts as undelivered once it shows a higher token",
+			"machine", r.Machine, "session", r.Session, "token", r.Token, "known_session", v.Session, "known_token", m.shownToken)
+		v.MadeAfter = 0
+	}
 	v.Tasks = make([]Task, 0, len(r.Tasks))
 	for _, t := range r.Tasks {
 		v.Tasks = append(v.Tasks, Task{t.Task, t.Attempt, t.State, t.Why, t.Saved})
 	}
 	v.Session = r.Session
 	c := v.ChangesSince(&before)
-	if m.vanished(&before, &c) {
+	switch {
+	case m.vanished(&before, &c):
 		a.workerRestarted(m)
+	case !sameLife:
+		a.requireHigherToken(m, m.token)
+	}
+	if !sameLife {
+		m.fenceStarts()
 	}
+	m.shownToken = r.Token
 	if m.tokenShown(r.Token) {
 		a.setState(m, TokenShown)
 	} else {
@@ -165,6 +172,10 @@
 			delete(m.pending, k)
 		case p.untilToken != 0 && r.Token >= p.untilToken:
 			p.untilToken = 0 // a command under the old token can no longer be carried out
+			if p.start.Session != v.Session {
+				delete(m.pending, k)
+				m.dirty = true
+			}
 		}
 	}
 	a.expireStarts(m, wall)
--- a/internal/workers/restart.go
+++ b/internal/workers/restart.go
@@ -13,6 +13,17 @@
 // The reports of such a worker seem older than those before. They are not answered until their sequence numbers have
 // caught up, so that the worker's lease may expire and a new session begin. Until then its earlier tasks count as running.
 
+// Neither the session nor the sequence number orders two messages of a worker that restarted in between: a copy of a report
+// from before the restart may show a higher session. What a message says of the present is therefore taken from it only
+// once it shows a token that did not exist before (View.MadeAfter).
+
+// continuesLife reports whether a report that is newer by its session and sequence number may belong to the session
+// that is known here. Another session may be that of an earlier or later life of the worker, and a worker that has not
+// restarted never shows a lower token than before.
+func (m *machine) continuesLife(r *wire.Report) bool {
+	return m.view.Session == 0 || r.Session == m.view.Session && r.Token >= m.shownToken
+}
+
 // workerRestarted makes a restarted worker show a higher token than all commands that were sent to it before.
 func (a *Registry) workerRestarted(m *machine) {
 	a.log.Info("worker has restarted within its session; its tasks count as running until it shows a higher token or begins another session",
@@ -37,3 +48,11 @@
 func (m *machine) provesRestart(command directCommand, r *wire.Report) bool {
 	return r.Machine == m.view.Name && r.Session == command.session && r.Session == m.view.Session && r.Seq <= command.knownSeq
 }
+
+// fenceStarts keeps all pending starts listed until the worker shows the token that it must: until then a start that was
+// sent under an earlier token may be carried out, whatever session a report shows.
+func (m *machine) fenceStarts() {
+	for _, p := range m.pending {
+		p.untilToken = max(p.untilToken, m.requiredToken)
+	}
+}
--- a/internal/workers/restart_test.go
+++ b/internal/workers/restart_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"cleatpick/internal/delivery"
 	"cleatpick/internal/eventloop"
 )
 
@@ -107,3 +108,74 @@
 		t.Errorf("the worker still lists %v", listed)
 	}
 }
+
+// hijackedByEarlierReport returns a rig whose worker has restarted in session 1 and executed the direct start of attempt 1,
+// after which a copy of a report of session 2 from before the restart arrived.
+func hijackedByEarlierReport(t *testing.T) *copyRig {
+	g := newCopyRig(t)
+	g.worker.Tick(g.now + 200*eventloop.Second) // its lease expires
+	earlier := g.worker.Report()
+	if earlier.Session != 2 {
+		t.Fatalf("the worker is in session %d, want 2", earlier.Session)
+	}
+	g.worker.RestartAsNew(g.now)
+	g.registry.MarkDeleted("n-1") // this host has restarted, too, and knows nothing of the machine
+	g.registry.ForgetDeleted([]string{"n-1"})
+	g.exchange()
+	g.exchange()
+	g.start(1)
+	g.registry.Report(earlier, func(Answer) {})
+	return g
+}
+
+// A copy of a report of a higher session from before a worker's restart says nothing of what is on the machine now.
+func TestReportOfHigherSessionIsNoEvidenceBeforeItsTokenIsShown(t *testing.T) {
+	g := hijackedByEarlierReport(t)
+	if v := g.registry.View("n-1"); v.Session != 2 || v.TokenConfirmed || v.MadeAfter != 0 {
+		t.Errorf("after the copy: session %d, token confirmed: %v, list made after %d; want session 2 without evidence", v.Session, v.TokenConfirmed, v.MadeAfter)
+	}
+	if !g.worker.Active("job-1/0", 1) {
+		t.Fatal("the attempt does not run")
+	}
+}
+
+// A start that was passed on is never rejected, whatever session a later report shows: its owner takes a rejection for
+// proof that it will not run.
+func TestPassedOnStartIsNotRejected(t *testing.T) {
+	for name, until := range map[string]func(g *copyRig){
+		"a copy of an earlier report came": func(*copyRig) {},
+		"the machine reported elsewhere in between": func(g *copyRig) {
+			g.registry.ApplyView(&View{Name: "n-1", Host: "b", Session: 3, Seq: 1, Epoch: g.epoch + 1})
+			g.session = 4
+			g.report(t, 1, 0)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := hijackedByEarlierReport(t)
+			until(g)
+			g.registry.Start(Start{Machine: "n-1", Session: 1, Task: "job-1/0", Attempt: 1, Expiry: g.now + 3*eventloop.Second, From: "a"})
+			if len(g.rejections) > 0 {
+				t.Errorf("the start that runs is rejected: %+v", g.rejections)
+			}
+		})
+	}
+}
+
+// A rejected start is not accepted when its machine reports here again after it reported elsewhere.
+func TestRejectionOutlivesHosting(t *testing.T) {
+	g := newTestRegistry()
+	token := g.report(t, 1, 0).Token
+	g.report(t, 2, token)
+	start := Start{Machine: "n-1", Session: 1, Task: "job-1/0", Attempt: 1, Expiry: g.now + 6*eventloop.Second, From: "a"}
+	g.registry.CloseToStarts("n-1", g.now+eventloop.Second)
+	g.registry.Start(start)
+	if len(g.rejections) != 1 {
+		t.Fatalf("rejections: %+v, want one", g.rejections)
+	}
+	g.registry.ApplyView(&View{Name: "n-1", Host: "b", Session: 1, Seq: 3})
+	g.report(t, 4, token)
+	g.registry.Start(start)
+	if g.hostedMachine().pending[delivery.Attempt{Task: "job-1/0", Number: 1}] != nil {
+		t.Error("a rejected start is accepted after the machine has come back")
+	}
+}
--- a/internal/workers/start.go
+++ b/internal/workers/start.go
@@ -87,9 +87,7 @@
 	k := delivery.Attempt{Task: s.Task, Number: s.Attempt}
 	wall := a.runner.Wall()
 	reject := func(why string) {
-		if m != nil {
-			m.rejected[k] = s.Expiry + a.config.ClockDifference
-		}
+		a.rejected.Record(k, s.Expiry)
 		a.config.SendRejection(s.From, Rejection{Machine: s.Machine, Task: s.Task, Attempt: s.Attempt, Why: why, Incarnation: a.config.Incarnation})
 	}
 	if m == nil || s.Incarnation != 0 && s.Incarnation != a.config.Incarnation {
@@ -104,7 +102,10 @@
 	if m.view.Find(s.Task, s.Attempt) != nil || m.pending[k] != nil {
 		return
 	}
-	if _, was := m.rejected[k]; was {
+	if a.passedOn.CanArrive(k, wall) {
+		return // the worker may have it, whatever the newest view shows
+	}
+	if a.rejected.CanArrive(k, wall) {
 		reject("dropped before")
 		return
 	}
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -68,13 +68,18 @@
 	redirects  map[string]redirect // workers that were sent to another controller
 	// issuedTokens holds the highest token issued to each machine that was hosted here and now is not.
 	issuedTokens map[string]uint64
+	// passedOn and rejected hold the starts that were passed on to workers and those that were rejected, until no copy of
+	// them can arrive. They outlive the entry of a machine that reports to another host for a while: a start that was
+	// passed on is not rejected, and one that was rejected is not accepted.
+	passedOn, rejected *delivery.Expiries
 
 	toPublish []*machine
 }
 
 // New makes an empty registry.
 func New(r eventloop.Runner, log *slog.Logger, h Config, direct DirectSender) *Registry {
-	a := &Registry{runner: r, log: log, config: h, sendDirect: direct, hosted: map[string]*machine{}, views: map[string]*View{}, deleted: map[string]bool{}, redirects: map[string]redirect{}, issuedTokens: map[string]uint64{}}
+	a := &Registry{runner: r, log: log, config: h, sendDirect: direct, hosted: map[string]*machine{}, views: map[string]*View{}, deleted: map[string]bool{}, redirects: map[string]redirect{}, issuedTokens: map[string]uint64{},
+		passedOn: delivery.NewExpiries(h.Clock), rejected: delivery.NewExpiries(h.Clock)}
 	eventloop.Every(r, 500*eventloop.Millisecond, a.tick)
 	return a
 }
@@ -123,6 +128,8 @@
 
 func (a *Registry) tick() {
 	wall := a.runner.Wall()
+	a.passedOn.Prune(wall)
+	a.rejected.Prune(wall)
 	for _, m := range eventloop.Sorted(a.hosted) {
 		a.expireStarts(m, wall)
 		if m.view.ClosedToStarts != (wall < m.closedUntil) {
