autoscaler: cancelled tasks on a silent machine are gone within cancel_s whoever leads

Cause: nothing durable said by when the tasks have to be gone. A silent machine is deleted when its lease is over, and to a new leader no report counts as older than its leadership, so that the lease begins anew with each leader. That floor itself is right: behind a network partition a machine that is answered by a controller which the leader does not hear must not be deleted at once.

Change: the time of the cancellation is part of the job's record. Owners name to the leader the silent machines that hold tasks of cancelled jobs, with the earliest of these times, also after they have only just loaded the records. The leader probes these machines once a lease has passed since: one that does not answer twice in a row is deleted then; one to which no connection can be made, when a quarter of the time between the lease and cancel_s is left; one that answers is left alone, since its worker ends the tasks with its lease. Its address may come from the cloud's list, so the leader needs no view of it.

Why no simulated cluster showed it: machines did hang for longer than cancel_s, but the checker exempted tasks on a machine that hangs beyond its lease. The exemption now holds only in the cases in which the state service is out for as long as cancel_s, since no leader can confirm that it leads then.

--- a/internal/autoscaler/autoscaler.go
+++ b/internal/autoscaler/autoscaler.go
@@ -133,10 +133,12 @@
 	failures       *failuredetector.Detector
 	sortedMachines []*machine // by name; nil: to be rebuilt
 	rand           *rand.Rand
-	deleting       map[string]*machine   // the machines in state Deleting
-	ordersInARow   int                   // orders sent since idle machines were last deleted
-	bootTimes      *explain.Distribution // boot times, in units of the types' nominal boot times
-	deleted        map[string][]string   // names of deleted machines, by key of their record
+	deleting       map[string]*machine // the machines in state Deleting
+	// cancelledHolders are the silent machines that hold tasks of cancelled jobs, by name.
+	cancelledHolders map[string]*cancelledHolder
+	ordersInARow     int                   // orders sent since idle machines were last deleted
+	bootTimes        *explain.Distribution // boot times, in units of the types' nominal boot times
+	deleted          map[string][]string   // names of deleted machines, by key of their record
 	// OnDeleted is called once for every machine that is known to be deleted.
 	OnDeleted func(string)
 }
@@ -145,7 +147,7 @@
 // controller.
 func New(r eventloop.Runner, log *slog.Logger, cfg *config.Config, c *store.Client, m *store.Mirror, cloud store.Doer, a *workers.Registry, deps Dependencies) *Autoscaler {
 	scaler := &Autoscaler{runner: r, log: log, cfg: cfg, client: c, mirror: m, cloud: cloud, workers: a, deps: deps, byName: map[string]wire.MachineType{}, rand: eventloop.Rand(r),
-		demands: map[string]peer.Demand{}, unreachableAt: map[string]eventloop.Micros{}, demandAt: map[string]eventloop.Micros{}, deleted: map[string][]string{}, bootTimes: explain.NewDistribution()}
+		demands: map[string]peer.Demand{}, unreachableAt: map[string]eventloop.Micros{}, demandAt: map[string]eventloop.Micros{}, deleted: map[string][]string{}, bootTimes: explain.NewDistribution(), cancelledHolders: map[string]*cancelledHolder{}}
 	w := cfg.Cluster.Workers
 	scaler.failures = failuredetector.New(failuredetector.Rules{ReportInterval: eventloop.Seconds(w.ReportS), Lease: eventloop.Seconds(w.LeaseS), UnreachableGrace: partitionGrace,
 		MaxSilence: eventloop.Seconds(cfg.Operator.SilentDeleteAfterS), MaxProbes: max(min(64, cfg.Cluster.Limits.MaxSockets/20), 4)}, log, deps.Meter, scaler.probe)
@@ -212,6 +214,7 @@
 	a.listAt, a.catalogAt, a.listed = 0, 0, false
 	a.seq = 0
 	a.failures.Clear()
+	clear(a.cancelledHolders)
 	for _, key := range a.mirror.KeysUnder(OrderKeys) {
 		e, _ := a.mirror.Get(key)
 		var o Order
--- a/internal/autoscaler/cloud.go
+++ b/internal/autoscaler/cloud.go
@@ -101,7 +101,7 @@
 			if m == nil {
 				continue
 			}
-			m.listed = x.State
+			m.listed, m.addr = x.State, x.Addr
 			if x.AgeS >= 0 && x.AgeS < 1e8 {
 				m.since = min(m.since, a.runner.Now()-eventloop.Seconds(x.AgeS))
 			}
--- a/internal/autoscaler/machine.go
+++ b/internal/autoscaler/machine.go
@@ -31,6 +31,7 @@
 	name         string
 	typ          string
 	zone         string
+	addr         string // from the cloud's list; empty: not listed yet
 	spot         bool
 	state        MachineState
 	since        eventloop.Micros // when it was rented, as far as known
@@ -162,6 +163,7 @@
 	a.drainUnneeded(now)
 	retention := a.retention()
 	a.detectFailures(now, retention)
+	a.checkCancelledTasks(now)
 	for _, m := range a.sorted() {
 		switch m.state {
 		case Booting:
@@ -179,11 +181,14 @@
 	}
 }
 
+// demandLifetime is how long after its arrival a demand counts. Owners send it several times per second.
+const demandLifetime = 5 * eventloop.Second
+
 // suspects lists the machines that hold tasks and whose reports do not reach the owners of those tasks.
 func (a *Autoscaler) suspects(now eventloop.Micros) map[string]bool {
 	out := map[string]bool{}
 	for from, y := range a.demands {
-		if now-a.demandAt[from] < 5*eventloop.Second {
+		if now-a.demandAt[from] < demandLifetime {
 			for _, name := range y.Suspect {
 				out[name] = true
 			}
--- a/internal/job/amend.go
+++ b/internal/job/amend.go
@@ -95,7 +95,7 @@
 func (r *Registry) Cancel(id string, callback func(Answer)) {
 	r.Amend(id, func(j *Job) *Record {
 		rec := j.recordWith(j.Terms)
-		rec.Phase = Cancelled
+		rec.Phase, rec.CancelledAt = Cancelled, r.runner.Wall()
 		return rec
 	}, callback)
 }
--- a/internal/job/peers.go
+++ b/internal/job/peers.go
@@ -26,7 +26,7 @@
 		r.jobs[id] = j
 	}
 	r.peerOnly++
-	j.PeerRevision, j.Phase = revision, Cancelled
+	j.PeerRevision, j.Phase, j.CancelledAt = revision, Cancelled, r.runner.Wall()
 	r.unanswered.recordAnswer(id)
 	if r.OnJob != nil {
 		r.OnJob(j)
--- a/internal/job/record.go
+++ b/internal/job/record.go
@@ -71,11 +71,14 @@
 // Record is the job record in the state service. The record of a job that is done keeps only its phase, the time
 // of its acceptance and its number of tasks.
 type Record struct {
-	Phase      Phase  `cbor:"st"`
-	AcceptedAt int64  `cbor:"at,omitempty"` // wall-clock time at which the job was accepted
-	Spec       *Spec  `cbor:"s,omitempty"`
-	Tasks      int    `cbor:"n,omitempty"`
-	Terms      *Terms `cbor:"x,omitempty"`
+	Phase      Phase `cbor:"st"`
+	AcceptedAt int64 `cbor:"at,omitempty"` // wall-clock time at which the job was accepted
+	// CancelledAt is the wall-clock time at which the cancellation was recorded, before any user was told of it. It is 0
+	// in records of versions before 0.9.6.
+	CancelledAt int64  `cbor:"ca,omitempty"`
+	Spec        *Spec  `cbor:"s,omitempty"`
+	Tasks       int    `cbor:"n,omitempty"`
+	Terms       *Terms `cbor:"x,omitempty"`
 }
 
 // Job is a job as known to this controller.
@@ -84,9 +87,12 @@
 	Revision   uint64 // of the newest record that is known here
 	Phase      Phase
 	AcceptedAt int64
-	Spec       *Spec
-	Tasks      int
-	Terms      Terms
+	// CancelledAt is the wall-clock time at which the cancellation was recorded, or at which a peer's message of it
+	// arrived; 0: not cancelled, or not known.
+	CancelledAt int64
+	Spec        *Spec
+	Tasks       int
+	Terms       Terms
 	// PeerRevision is the revision at which a peer knows the job as cancelled, while the record of that
 	// revision has not arrived here; 0 otherwise.
 	PeerRevision uint64
--- a/internal/job/registry.go
+++ b/internal/job/registry.go
@@ -73,6 +73,9 @@
 	}
 	j.Revision, j.Phase, j.AcceptedAt = e.Revision, rec.Phase, rec.AcceptedAt
 	r.applyPeerRevision(j)
+	if rec.Phase == Cancelled {
+		j.CancelledAt = rec.CancelledAt
+	}
 	if rec.Spec != nil {
 		j.Spec, j.Tasks = rec.Spec, rec.Spec.Tasks
 	} else {
--- a/internal/node/cancellation_cases_test.go
+++ b/internal/node/cancellation_cases_test.go
@@ -71,6 +71,7 @@
 						case "its host ends":
 							w.after(2*second+when, func() { w.restartQuickly(w.labels[:1], 1) })
 						case "the state service is out":
+							w.exemptHungMachines = true // for longer than cancel_s no leader can confirm that it leads
 							w.outage(2*second+when+20*eventloop.Millisecond, cancel)
 						}
 						w.run(w.now + 2*second + long + cancel + 30*second)
--- a/internal/node/simulation_invariants_test.go
+++ b/internal/node/simulation_invariants_test.go
@@ -144,12 +144,14 @@
 	}
 }
 
-// checkCancelled fails if a task still runs more than cancel_s after its user was told that its job is cancelled. Tasks
-// on a machine that hangs beyond its lease do not count: its worker ends them before anything else when it resumes.
+// checkCancelled fails if a task is still on a machine more than cancel_s after its user was told that its job is cancelled.
+// Tasks on a machine that hangs beyond its lease count unless exemptHungMachines is set: then its worker ends them before
+// anything else when it resumes.
 func (w *simulation) checkCancelled() {
 	for t, m := range w.running {
 		id, _, _ := workers.SplitTask(t)
-		if j := w.jobs[id]; j.cancelledAt != 0 && w.now > j.cancelledAt+eventloop.Seconds(w.cfg.Cluster.Workers.CancelS) && !w.workers[m].hungPastLease(w.now) {
+		exempt := w.exemptHungMachines && w.workers[m].hungPastLease(w.now)
+		if j := w.jobs[id]; j.cancelledAt != 0 && w.now > j.cancelledAt+eventloop.Seconds(w.cfg.Cluster.Workers.CancelS) && !exempt {
 			w.fail("ran_cancelled: %s still runs on %s more than cancel_s after its user was told of the cancellation", t, m)
 		}
 	}
--- a/internal/node/simulation_test.go
+++ b/internal/node/simulation_test.go
@@ -97,10 +97,13 @@
 	slowAnswerShare float64
 	copyShares      [requestKinds]float64 // by kind, the share of executed requests of which a copy arrives again
 	copiesArrived   [requestKinds]int
-	restartAsNew    bool // machines that restart begin in session 1 and have seen no token
-	replayedStarts  int  // number of starts that arrived again after such a restart
-	forgetsSent     int  // number sent to workers that would execute them
-	segmentsDeleted int  // number of segments of task logs that were deleted
+	// exemptHungMachines exempts cancelled tasks on machines that hang beyond their lease: no controller can have them
+	// deleted while the state service or the cloud is away.
+	exemptHungMachines bool
+	restartAsNew       bool // machines that restart begin in session 1 and have seen no token
+	replayedStarts     int  // number of starts that arrived again after such a restart
+	forgetsSent        int  // number sent to workers that would execute them
+	segmentsDeleted    int  // number of segments of task logs that were deleted
 	// intensePollUntil is until when users poll intensely, see pollIntensely.
 	intensePollUntil eventloop.Micros
 	openQuestions    map[question]*openQuestion  // questions that a controller has not answered
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -52,6 +52,15 @@
 	Wall     eventloop.Micros `cbor:"1,keyasint"`
 	Requests []Request        `cbor:"2,keyasint,omitempty"`
 	Suspect  []string         `cbor:"3,keyasint,omitempty"` // machines that have tasks and whose reports do not arrive
+	// Cancelled names the suspect machines that hold tasks of cancelled jobs.
+	Cancelled []CancelledTasks `cbor:"4,keyasint,omitempty"`
+}
+
+// CancelledTasks says that a machine whose reports do not arrive holds tasks of cancelled jobs.
+type CancelledTasks struct {
+	_       struct{} `cbor:",toarray"`
+	Machine string
+	Since   eventloop.Micros // wall-clock time of the earliest of the cancellations
 }
 
 // Progress is what an owner reports about a job, for display only.
--- a/internal/scheduler/tick.go
+++ b/internal/scheduler/tick.go
@@ -156,5 +156,22 @@
 		}
 	}
 	sort.Strings(t.Suspect)
+	for _, m := range t.Suspect {
+		if since := sched.earliestCancellation(m); since != 0 {
+			t.Cancelled = append(t.Cancelled, peer.CancelledTasks{Machine: m, Since: since})
+		}
+	}
 	sched.deps.SendDemand(t)
 }
+
+// earliestCancellation returns the wall-clock time of the earliest cancellation of a job with a task in use on the machine;
+// 0: there is none.
+func (sched *Scheduler) earliestCancellation(machine string) (earliest eventloop.Micros) {
+	for r := range sched.tasksByMachine[machine].all {
+		at := r.table.job.CancelledAt
+		if at != 0 && (earliest == 0 || at < earliest) {
+			earliest = at
+		}
+	}
+	return earliest
+}
