peer: what is due for a peer is divided into frames that the peer accepts

The owners of the jobs ran on the others and no longer saw their tasks: all tasks completed, and every controller went on telling the users "running".

Cause: everything that had collected for a peer went into one frame, and a receiver closes the connection on a frame over 1 MiB. The views of some 37,000 tasks exceed that. Each new connection made the sender publish the full views of all its machines again, to all peers, so that the next frame was too large again. The answer to a request for missing views was as large.

Change: an envelope whose encoding exceeds 256 KiB is halved until its parts fit, in the order in which the receiver handles its parts. A demand replaces the one before and cannot be divided; if it alone exceeds a frame, the requests that are served first are kept. Nothing larger than a receiver accepts is sent; what cannot be divided is left out and logged. A new connection gets the published views of the sender's machines, and the other peers get nothing again; the deltas that follow apply to those views.

Why no simulated cluster showed it: frames had no limit there, controllers had no connections that could be made anew, and the clusters are far too small. Simulations can now lower the sizes of frames; receivers refuse larger ones, and controllers that start are connected to.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -248,8 +248,11 @@
 		}
 	}
 	n.net.OnConnected = func(label string) {
-		n.workers.Republish()
-		n.net.Send(label, func(e *peer.Envelope) { e.Teams = cfg.TeamNames() })
+		views := n.workers.PublishedViews()
+		n.net.Send(label, func(e *peer.Envelope) {
+			e.Teams = cfg.TeamNames()
+			e.Views = append(e.Views, views...)
+		})
 	}
 	n.net.OnRefused = func(label string) {
 		if l.Now()-n.net.State(label).ReceivedAt > 1200*eventloop.Millisecond && l.Now()-n.startedAt > 5*eventloop.Second {
--- a/internal/node/simulation_test.go
+++ b/internal/node/simulation_test.go
@@ -97,6 +97,7 @@
 	slowAnswerShare float64
 	copyShares      [requestKinds]float64 // by kind, the share of executed requests of which a copy arrives again
 	copiesArrived   [requestKinds]int
+	frames          frameSizes
 	// exemptHungMachines exempts cancelled tasks on machines that hang beyond their lease: no controller can have them
 	// deleted while the state service or the cloud is away.
 	exemptHungMachines bool
@@ -110,6 +111,9 @@
 	ableSince        map[string]eventloop.Micros // since when each controller could answer; 0: it cannot
 }
 
+// frameSizes are lower sizes of the frames between controllers, in bytes; 0: those of the product.
+type frameSizes struct{ target, largest int }
+
 // cost is what the controllers' own code costs, without the simulation around it.
 type cost struct {
 	spent  time.Duration // spent in the controllers, without the simulated services
@@ -479,7 +483,13 @@
 		Workers: func(addr, method, path string, body []byte, _ time.Duration) store.Response {
 			return excludeFromCost(w, func() store.Response { return w.direct(label, addr, path, body) })
 		}, Probe: func(addr string) failuredetector.ProbeResult { return w.probe(label, addr) }})
+	if w.frames.largest != 0 {
+		s.n.net.SetFrameSizes(w.frames.target, w.frames.largest)
+	}
 	s.n.net.Deliver = func(to string, frame []byte) {
+		if w.frames.largest != 0 && len(frame) > w.frames.largest {
+			w.fail("%s sends a frame of %d bytes; receivers refuse more than %d", label, len(frame), w.frames.largest)
+		}
 		f := append([]byte(nil), frame...)
 		w.addToTrace(label+" to "+to, f)
 		w.cost.frames++
@@ -495,6 +505,19 @@
 		w.copyLater(copiedFrame, func() { w.deliverFrame(to, f) })
 	}
 	r.Post(s.n.Start)
+	if w.frames.largest != 0 {
+		w.after(100*eventloop.Millisecond, func() { w.connect(s) })
+	}
+}
+
+// connect lets a controller that has started and its peers connect to each other, in both directions.
+func (w *simulation) connect(s *simNode) {
+	for _, label := range w.labels {
+		if p := w.nodes[label]; p != s {
+			s.execute(s.incarnation, func() { s.n.net.OnConnected(label) })
+			p.execute(p.incarnation, func() { p.n.net.OnConnected(s.label) })
+		}
+	}
 }
 
 // deliverFrame delivers a message between controllers.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -1,5 +1,6 @@
 // Package peer carries the messages between controllers: CBOR frames over plain TCP, one connection for each direction.
-// It owns the connections, combines messages that are due at nearly the same time into one frame, and drops frames of
+// It owns the connections, combines messages that are due at nearly the same time into one frame, divides what exceeds
+// the size of a frame, and drops frames of
 // earlier incarnations of a peer. Every message may be lost, repeated or late; there are no acknowledgements here, and
 // senders repeat a message's content for as long as it matters. What a message means is left to the package that it
 // is for; whether a peer counts as reachable is decided elsewhere.
@@ -26,8 +27,11 @@
 )
 
 const (
-	maxFrame = 1 << 20
-	maxQueue = 64
+	// maxFrame is the largest frame in bytes that a receiver accepts; targetFrame is the size up to which a sender puts
+	// everything into one frame, so that a receiver is not busy with a single frame for long.
+	maxFrame    = 1 << 20
+	targetFrame = 256 << 10
+	maxQueue    = 64
 	// flushDelayPerPeer times the number of peers, but at most maxFlushDelay, is for how long additions to a frame
 	// are collected. Each frame wakes up a process, and fifteen controllers have 210 connections. Up to the number of
 	// peers at which maxFlushDelay applies, a controller sends at most 200 frames per second, however many peers it
@@ -58,6 +62,8 @@
 	self   string
 	links  map[string]*link
 	states map[string]*PeerState
+	// targetFrame and maxFrame are the constants of these names, unless a test lowers them.
+	targetFrame, maxFrame int
 	// Incarnation is the wall clock time at which this process started, which identifies its incarnation.
 	// ClockDifference is the largest difference between two wall clocks, twice the largest error of one: incarnations
 	// of a peer that are closer together than that are not ordered.
@@ -80,7 +86,7 @@
 
 // New returns a Net with a link to each peer; Run connects them.
 func New(r eventloop.Runner, log *slog.Logger, self string, peers []config.Peer) *Net {
-	n := &Net{runner: r, log: log, self: self, links: map[string]*link{}, states: map[string]*PeerState{}}
+	n := &Net{runner: r, log: log, self: self, links: map[string]*link{}, states: map[string]*PeerState{}, targetFrame: targetFrame, maxFrame: maxFrame}
 	n.Deliver = n.enqueue
 	for _, p := range peers {
 		n.links[p.Label] = &link{peer: p, frames: make(chan []byte, maxQueue)}
@@ -139,7 +145,7 @@
 			return
 		}
 		size := binary.BigEndian.Uint32(head[:])
-		if size > maxFrame {
+		if int64(size) > int64(n.maxFrame) {
 			n.log.Error("frame from a peer exceeds the size limit; connection closed", "size", size)
 			return
 		}
@@ -261,11 +267,20 @@
 		}
 		l.next.Views = kept
 	}
-	body := wire.Marshal(&l.next)
+	frames, dropped := n.encode(&l.next)
 	l.next = Envelope{}
-	n.Deliver(l.peer.Label, body)
+	if dropped > 0 {
+		n.log.Error("parts of a message to a peer exceed the largest frame; they are not sent", "peer", l.peer.Label, "parts", dropped)
+	}
+	for _, body := range frames {
+		n.Deliver(l.peer.Label, body)
+	}
 }
 
+// SetFrameSizes sets the size in bytes up to which everything for a peer is put into one frame, and the largest size of
+// a frame. Tests lower them, so that small clusters send what only the largest would.
+func (n *Net) SetFrameSizes(target, largest int) { n.targetFrame, n.maxFrame = target, largest }
+
 // enqueue queues a frame for the connection; it drops the frame if the queue is full.
 func (n *Net) enqueue(label string, body []byte) {
 	l := n.links[label]
--- a/internal/workers/delta.go
+++ b/internal/workers/delta.go
@@ -264,6 +264,17 @@
 	return false
 }
 
+// PublishedViews returns the newest published views of all hosted machines, for a peer to which a new connection was
+// made: the deltas that follow apply to them.
+func (a *Registry) PublishedViews() (out []*View) {
+	for _, m := range eventloop.Sorted(a.hosted) {
+		if m.published != nil {
+			out = append(out, m.published)
+		}
+	}
+	return out
+}
+
 // FullViews returns the newest published views of hosted machines, for a peer that lacks the views to which deltas
 // apply.
 func (a *Registry) FullViews(names []string) (out []*View) {
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -97,14 +97,6 @@
 	a.setView(v)
 }
 
-// Republish sends the full views of all hosted machines again, for example after a peer restarted.
-func (a *Registry) Republish() {
-	for _, m := range eventloop.Sorted(a.hosted) {
-		m.published = nil
-		a.publishSoon(m)
-	}
-}
-
 // RequestTaskList asks a hosted machine's worker for a task list that is certainly made after this call.
 func (a *Registry) RequestTaskList(name string) {
 	if m := a.hosted[name]; m != nil {
