--- a/internal/autoscaler/autoscaler.go
+++ b/internal/autoscaler/autoscaler.go
@@ -124,7 +124,8 @@
 	calling        bool
 	listAt         eventloop.Micros
 	catalogAt      eventloop.Micros
-	listed         bool // the list was read since this leadership began
+	listed         bool                        // the list was read since this leadership began
+	requestedSince map[requestKey]requestTimes // since when alike requests have been waiting
 	drainCheckedAt eventloop.Micros
 	checkedAt      eventloop.Micros
 	unreachableAt  map[string]eventloop.Micros // when a zone was last seen unreachable
@@ -147,7 +148,7 @@
 // controller.
 func New(r eventloop.Runner, log *slog.Logger, cfg *config.Config, c *store.Client, m *store.Mirror, cloud store.Doer, a *workers.Registry, deps Dependencies) *Autoscaler {
 	scaler := &Autoscaler{runner: r, log: log, cfg: cfg, client: c, mirror: m, cloud: cloud, workers: a, deps: deps, byName: map[string]wire.MachineType{}, rand: eventloop.Rand(r),
-		demands: map[string]peer.Demand{}, unreachableAt: map[string]eventloop.Micros{}, demandAt: map[string]eventloop.Micros{}, deleted: map[string][]string{}, bootTimes: explain.NewDistribution(), cancelledHolders: map[string]*cancelledHolder{}}
+		demands: map[string]peer.Demand{}, unreachableAt: map[string]eventloop.Micros{}, demandAt: map[string]eventloop.Micros{}, deleted: map[string][]string{}, bootTimes: explain.NewDistribution(), cancelledHolders: map[string]*cancelledHolder{}, requestedSince: map[requestKey]requestTimes{}}
 	w := cfg.Cluster.Workers
 	scaler.failures = failuredetector.New(failuredetector.Rules{ReportInterval: eventloop.Seconds(w.ReportS), Lease: eventloop.Seconds(w.LeaseS), UnreachableGrace: partitionGrace,
 		MaxSilence: eventloop.Seconds(cfg.Operator.SilentDeleteAfterS), MaxProbes: max(min(64, cfg.Cluster.Limits.MaxSockets/20), 4)}, log, deps.Meter, scaler.probe)
@@ -215,6 +216,7 @@
 	a.seq = 0
 	a.failures.Clear()
 	clear(a.cancelledHolders)
+	clear(a.requestedSince)
 	for _, key := range a.mirror.KeysUnder(OrderKeys) {
 		e, _ := a.mirror.Get(key)
 		var o Order
--- a/internal/fake/cloud.go
+++ b/internal/fake/cloud.go
@@ -15,9 +15,11 @@
 // Cloud is a fake of the cloud provider's API. It rents out a fixed number of machines per zone and answers
 // requests synchronously.
 type Cloud struct {
-	mu           sync.Mutex
-	Types        []wire.MachineType
-	Available    map[string]int // machines that can still be rented, by zone
+	mu        sync.Mutex
+	Types     []wire.MachineType
+	Available map[string]int // machines that can still be rented, by zone
+	// Limit returns how many machines a request may rent at most; nil: as many as are available.
+	Limit        func(wire.RentRequest) int
 	requests     map[string][]string
 	machines     map[string]wire.CloudMachine
 	machineCount int // machines ever rented; numbers their names
@@ -174,6 +176,9 @@
 			return reply(200, wire.MachineNames{Machines: got})
 		}
 		n := min(r.Count, c.Available[r.Zone])
+		if c.Limit != nil {
+			n = min(n, c.Limit(r))
+		}
 		if n <= 0 {
 			return reply(503, wire.Error{Error: "no capacity"})
 		}
