--- a/cmd/cleatpick/main.go
+++ b/cmd/cleatpick/main.go
@@ -15,7 +15,7 @@
 )
 
 // version is the version that --version prints.
-const version = "0.9.5"
+const version = "0.9.6"
 
 type cli struct {
 	Serve    serveCmd         `cmd:"" default:"withargs" help:"Run a controller (the default command)."`
--- a/internal/workers/delta.go
+++ b/internal/workers/delta.go
@@ -127,6 +127,7 @@
 	Pending        []Task           `cbor:"13,keyasint,omitempty"`
 	Incarnation    eventloop.Micros `cbor:"14,keyasint,omitempty"`
 	ReportedAt     eventloop.Micros `cbor:"15,keyasint,omitempty"`
+	ShownToken     uint64           `cbor:"16,keyasint,omitempty"`
 }
 
 // deltaTo returns the differences of v from base; ok is false where only the full view can be sent.
@@ -136,7 +137,7 @@
 	}
 	c := v.ChangesSince(base)
 	d = &Delta{Name: v.Name, Session: v.Session, BaseSeq: base.Seq, BaseRev: base.Rev, Seq: v.Seq, Rev: v.Rev, TokenConfirmed: v.TokenConfirmed,
-		MadeAfter: v.MadeAfter, NoticeAt: v.NoticeAt, ClosedToStarts: v.ClosedToStarts, Removed: c.Removed, Pending: v.Pending, Incarnation: v.Incarnation, ReportedAt: v.ReportedAt}
+		MadeAfter: v.MadeAfter, NoticeAt: v.NoticeAt, ClosedToStarts: v.ClosedToStarts, Removed: c.Removed, Pending: v.Pending, Incarnation: v.Incarnation, ReportedAt: v.ReportedAt, ShownToken: v.ShownToken}
 	for k, i := range c.OldIndex {
 		if i < 0 {
 			d.Added = append(d.Added, IndexedTask{Index: k, Task: v.Tasks[k]})
@@ -157,7 +158,7 @@
 	}
 	v := *base
 	v.Seq, v.Rev, v.TokenConfirmed, v.MadeAfter, v.NoticeAt, v.ClosedToStarts, v.Pending = d.Seq, d.Rev, d.TokenConfirmed, d.MadeAfter, d.NoticeAt, d.ClosedToStarts, d.Pending
-	v.ReportedAt = d.ReportedAt
+	v.ReportedAt, v.ShownToken = d.ReportedAt, d.ShownToken
 	v.jobs, v.resolved = nil, false
 	if len(d.Removed)+len(d.Added) == 0 {
 		return &v
@@ -250,7 +251,7 @@
 		return false
 	}
 	old := a.views[d.Name]
-	if update := (View{Host: from, Session: d.Session, Seq: d.Seq, Rev: d.Rev}); !update.newerThan(old) {
+	if update := (View{Host: from, Session: d.Session, Seq: d.Seq, Rev: d.Rev, ShownToken: d.ShownToken}); !update.newerThan(old) {
 		return false // late: a view at least as new is known here
 	}
 	if old == nil || old.Host != from {
--- a/internal/workers/direct.go
+++ b/internal/workers/direct.go
@@ -76,7 +76,7 @@
 		a.updateView(m)
 		return
 	}
-	if r.Machine == m.view.Name && (r.Session > m.view.Session || (r.Session == m.view.Session && r.Seq > m.view.Seq)) {
+	if r.Machine == m.view.Name && compareMessages(r.Token, r.Session, r.Seq, &m.view) > 0 {
 		madeAfter := command.sentAt
 		if resp.Status == 409 {
 			madeAfter = 0
--- a/internal/workers/machine.go
+++ b/internal/workers/machine.go
@@ -51,7 +51,6 @@
 	token uint64 // of the next message to the worker
 	// requiredToken is the lowest token that the worker must show: commands of unknown outcome have lower ones.
 	requiredToken uint64
-	shownToken    uint64           // that the worker showed last
 	issuedBefore  uint64           // highest token that was issued while the machine was hosted here before
 	tokenIssuedAt eventloop.Micros // wall-clock time before which the token did not exist
 	wantTaskList  bool             // an owner requested a task list that is certainly new
--- a/internal/workers/report.go
+++ b/internal/workers/report.go
@@ -54,7 +54,7 @@
 // isOutdated reports whether a view at least as new as the report is known.
 func (a *Registry) isOutdated(r *wire.Report) bool {
 	known := a.views[r.Machine]
-	return known != nil && (r.Session < known.Session || r.Session == known.Session && r.Seq <= known.Seq)
+	return known != nil && compareMessages(r.Token, r.Session, r.Seq, known) <= 0
 }
 
 // answerOutdatedReport returns the answer to a report whose task list is outdated. If the answer to a direct command
@@ -123,7 +123,7 @@
 	sameLife := m.continuesLife(&r)
 	if !sameLife {
 		a.log.Info("worker shows another session, or a lower token; what was sent to it before counts as undelivered once it shows a higher token",
-			"machine", r.Machine, "session", r.Session, "token", r.Token, "known_session", v.Session, "known_token", m.shownToken)
+			"machine", r.Machine, "session", r.Session, "token", r.Token, "known_session", v.Session, "known_token", v.ShownToken)
 		v.MadeAfter = 0
 	}
 	v.Tasks = make([]Task, 0, len(r.Tasks))
@@ -141,7 +141,7 @@
 	if !sameLife {
 		m.fenceStarts()
 	}
-	m.shownToken = r.Token
+	v.ShownToken = r.Token
 	if m.tokenShown(r.Token) {
 		a.setState(m, TokenShown)
 	} else {
--- a/internal/workers/restart.go
+++ b/internal/workers/restart.go
@@ -21,7 +21,7 @@
 // that is known here. Another session may be that of an earlier or later life of the worker, and a worker that has not
 // restarted never shows a lower token than before.
 func (m *machine) continuesLife(r *wire.Report) bool {
-	return m.view.Session == 0 || r.Session == m.view.Session && r.Token >= m.shownToken
+	return m.view.Session == 0 || r.Session == m.view.Session && r.Token >= m.view.ShownToken
 }
 
 // workerRestarted makes a restarted worker show a higher token than all commands that were sent to it before.
--- a/internal/workers/restart_test.go
+++ b/internal/workers/restart_test.go
@@ -5,6 +5,7 @@
 
 	"cleatpick/internal/delivery"
 	"cleatpick/internal/eventloop"
+	"cleatpick/internal/wire"
 )
 
 // goneAfterRestart exchanges reports until the view shows, with the worker's token confirmed, that attempt 1 is gone, and
@@ -179,3 +180,37 @@
 		t.Error("a rejected start is accepted after the machine has come back")
 	}
 }
+
+// A copy of a report of a higher session from before a worker's restart is refused by a controller that knows a view of
+// the time since, and does not displace the host to which the worker reports: the worker would lose its lease, and its
+// tasks. A controller that received the copy first takes over the view of the worker's host.
+func TestReportFromBeforeRestartDisplacesNoHost(t *testing.T) {
+	const before, since = 5 << counterBits, 9 << counterBits
+	earlier := wire.Report{Machine: "n-1", Addr: "x:1", Type: "m", Zone: "z", Session: 2, Seq: 40, Token: before}
+	present := View{Name: "n-1", Host: "b", Session: 1, Seq: 3, ShownToken: since, Epoch: 9, TokenConfirmed: true}
+	for _, first := range []string{"view", "copy"} {
+		t.Run("first the "+first, func(t *testing.T) {
+			g := newTestRegistry()
+			g.epoch = 8
+			status := 0
+			arrive := func() { g.registry.Report(earlier, func(a Answer) { status = a.Status }) }
+			if first == "copy" {
+				arrive()
+			}
+			g.registry.ApplyView(&present)
+			arrive()
+			if v := g.registry.View("n-1"); status != 503 || v.Host != "b" || v.Session != 1 || g.registry.HostedCount() != 0 {
+				t.Errorf("the copy is answered %d; the view is of host %q and session %d", status, v.Host, v.Session)
+			}
+			copied := View{Name: "n-1", Host: "c", Session: 2, Seq: 40, ShownToken: before, Epoch: 5}
+			if g.registry.ApplyView(&copied); g.registry.View("n-1").Host != "b" {
+				t.Error("the view that another controller made from the copy displaces the host")
+			}
+			// The worker's lease expires: a higher session with the same token is newer.
+			expired := View{Name: "n-1", Host: "c", Session: 2, Seq: 1, ShownToken: since, Epoch: 9}
+			if g.registry.ApplyView(&expired); g.registry.View("n-1").Host != "c" {
+				t.Error("the view of the worker's next session is refused")
+			}
+		})
+	}
+}
--- a/internal/workers/view.go
+++ b/internal/workers/view.go
@@ -8,6 +8,7 @@
 package workers
 
 import (
+	"cmp"
 	"strconv"
 	"strings"
 
@@ -52,6 +53,9 @@
 
 	// Epoch is the epoch of the newest token that the host gave the machine.
 	Epoch uint64 `cbor:"18,keyasint,omitempty"`
+	// ShownToken is the highest token that the worker had seen when it made the task list. It is 0 in views of hosts
+	// before version 0.9.6.
+	ShownToken uint64 `cbor:"19,keyasint,omitempty"`
 
 	jobs     []*job.Job // of Tasks, looked up once; nil where a job is not known here yet
 	used     Capacity   // capacity taken by active tasks and pending starts
@@ -127,15 +131,23 @@
 	if old == nil {
 		return true
 	}
-	if v.Session != old.Session {
-		return v.Session > old.Session
-	}
-	if v.Seq != old.Seq {
-		return v.Seq > old.Seq
+	if order := compareMessages(v.ShownToken, v.Session, v.Seq, old); order != 0 {
+		return order > 0
 	}
 	return v.Host == old.Host && v.Rev > old.Rev
 }
 
+// compareMessages compares a message of a worker with the one from which a view of its machine was made: a positive
+// result means that the message is newer. The tokens that a worker shows only rise, so they tell the messages of
+// its life before a restart, in which its sessions may have been higher, from those after it. A worker that has not been
+// answered since it restarted shows 0, which tells nothing.
+func compareMessages(token, session, seq uint64, known *View) int {
+	if token != known.ShownToken && token != 0 && known.ShownToken != 0 {
+		return cmp.Compare(token, known.ShownToken)
+	}
+	return cmp.Or(cmp.Compare(session, known.Session), cmp.Compare(seq, known.Seq))
+}
+
 // Find returns one attempt of a task on the machine, nil if it is not listed. A terminated attempt stays in the
 // reports until the worker forgets it, so several attempts of one task may be listed.
 func (v *View) Find(task string, attempt uint64) *Task {
