--- a/internal/peer/split_test.go
+++ b/internal/peer/split_test.go
@@ -23,7 +23,7 @@
 // largeViews are the views of as many machines as the largest fleet has, half as large again, with 64 tasks each.
 func largeViews() (views []*workers.View) {
 	for i := range 1110 {
-		v := &workers.View{Name: fmt.Sprintf("n-%06d", i), Addr: "10.0.0.1:9000", Type: "arrano-64", Zone: "x", Host: "a", Session: 1, Seq: 1, Tasks: []workers.Task{}}
+		v := &workers.View{Name: fmt.Sprintf("n-%06d", i), Addr: "10.0.0.1:9000", Type: "m64", Zone: "x", Host: "a", Session: 1, Seq: 1, Tasks: []workers.Task{}}
 		for k := range 64 {
 			v.Tasks = append(v.Tasks, workers.Task{Task: workers.TaskName(fmt.Sprintf("job-%06d", i), k), Attempt: 1, State: wire.TaskRunning})
 		}
@@ -96,7 +96,7 @@
 	n := New(fake.NewRunner(0), slog.New(slog.NewTextHandler(io.Discard, nil)), "a", nil)
 	e := &Envelope{From: "a", Demand: &Demand{Wall: 2}}
 	for i := range 40000 {
-		e.Demand.Requests = append(e.Demand.Requests, Request{CPUs: 1.1, MemoryGB: 1.7, Zone: "bilbao-1", Count: i, RunTime: 40e6})
+		e.Demand.Requests = append(e.Demand.Requests, Request{CPUs: 1.1, MemoryGB: 1.7, Zone: "zone-1", Count: i, RunTime: 40e6})
 	}
 	frames, dropped := n.encode(e)
 	if len(frames) != 1 || len(frames[0]) > maxFrame {
