autoscaler: a leader that reaches no peer has machines with cancelled tasks deleted, too

Cause: the check of these machines was left out while the leader reaches no peer, as the failure detector's is: to such a leader all machines that report to others look silent. But the check rests on the leader's own probes and on the time of the cancellation, not on whose reports arrive, and the leader confirms that it leads before it deletes.

Two of three new cases of TestSilentMachineWithCancelledTasksIsDeletedInTime need it.

--- a/internal/autoscaler/cancelled.go
+++ b/internal/autoscaler/cancelled.go
@@ -27,12 +27,10 @@
 	noAnswers int // number of successive probes without an answer
 }
 
-// checkCancelledTasks has silent machines deleted in time that hold tasks of cancelled jobs.
+// checkCancelledTasks has silent machines deleted in time that hold tasks of cancelled jobs. A leader that reaches no peer
+// does so, too: it cannot hear the machines that report to others, but its own probes tell which of them hang.
 func (a *Autoscaler) checkCancelledTasks(now eventloop.Micros) {
 	a.updateCancelledHolders(now)
-	if a.deps.Isolated() {
-		return
-	}
 	wall := a.runner.Wall()
 	for name, h := range eventloop.Sorted(a.cancelledHolders) {
 		m := a.adopt(name, "", "", false)
--- a/internal/autoscaler/cancelled_test.go
+++ b/internal/autoscaler/cancelled_test.go
@@ -41,18 +41,22 @@
 		probe     failuredetector.ProbeResult
 		leadAfter eventloop.Micros // from the cancellation until the leadership begins
 		deleted   bool
+		isolated  bool // the leader reaches no peer
 	}{
-		{"hung, the leader began before the lease ended", true, false, failuredetector.NoAnswer, 23 * eventloop.Second, true},
-		{"hung, the leader began after the lease ended", true, false, failuredetector.NoAnswer, 38 * eventloop.Second, true},
-		{"hung, known from the cloud's list only", false, false, failuredetector.NoAnswer, 38 * eventloop.Second, true},
-		{"no connection", true, false, failuredetector.NoConnection, 23 * eventloop.Second, true},
-		{"answers probes", true, false, failuredetector.Answered, 38 * eventloop.Second, false},
-		{"reports", true, true, failuredetector.NoAnswer, 23 * eventloop.Second, false},
+		{"hung, the leader began before the lease ended", true, false, failuredetector.NoAnswer, 23 * eventloop.Second, true, false},
+		{"hung, the leader began after the lease ended", true, false, failuredetector.NoAnswer, 38 * eventloop.Second, true, false},
+		{"hung, known from the cloud's list only", false, false, failuredetector.NoAnswer, 38 * eventloop.Second, true, false},
+		{"no connection", true, false, failuredetector.NoConnection, 23 * eventloop.Second, true, false},
+		{"answers probes", true, false, failuredetector.Answered, 38 * eventloop.Second, false, false},
+		{"reports", true, true, failuredetector.NoAnswer, 23 * eventloop.Second, false, false},
+		{"hung, the leader reaches no peer", true, false, failuredetector.NoAnswer, 23 * eventloop.Second, true, true},
+		{"no connection, the leader reaches no peer", true, false, failuredetector.NoConnection, 23 * eventloop.Second, true, true},
+		{"answers probes, the leader reaches no peer", true, false, failuredetector.Answered, 23 * eventloop.Second, false, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := newRig(t, 4)
 			g.scaler.cfg.Cluster.Workers.ReportS, g.scaler.cfg.Cluster.Workers.LeaseS, g.scaler.cfg.Cluster.Workers.CancelS = 5, lease, cancel
-			g.probeAnswer = c.probe
+			g.probeAnswer, g.isolated = c.probe, c.isolated
 			g.scaler.SetLeader(false, membership.Owner{})
 			name, zone := g.rentOne(t)
 			if c.viewed {
